--- /dev/null
+++ b/galley/src/main/java/martenloom/galley/record/Rec.java
@@ -0,0 +1,166 @@
+package martenloom.galley.record;
+
+import java.io.*;
+import java.util.*;
+import martenloom.galley.fault.*;
+
+/**
+ * One record between daemons: a type byte and what DataOutputStream wrote. Out builds one, In reads one. Reading past
+ * the end or a length out of bounds is a fault of the record, never of the daemon that received it.
+ */
+public final class Rec {
+    private Rec() {}
+
+    @FunctionalInterface
+    public interface Put<T> {
+        void put(Out o, T t);
+    }
+
+    public static final class Out {
+        private final ByteArrayOutputStream bytes = new ByteArrayOutputStream(128);
+        private final DataOutputStream out = new DataOutputStream(bytes);
+
+        public Out(int type) {
+            u8(type);
+        }
+
+        public Out() {}
+
+        @FunctionalInterface
+        private interface Step {
+            void run() throws IOException;
+        }
+
+        private Out step(Step s) {
+            try {
+                s.run();
+                return this;
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+
+        public Out u8(int v) {
+            return step(() -> out.writeByte(v));
+        }
+
+        public Out i32(int v) {
+            return step(() -> out.writeInt(v));
+        }
+
+        public Out i64(long v) {
+            return step(() -> out.writeLong(v));
+        }
+
+        public Out f64(double v) {
+            return step(() -> out.writeDouble(v));
+        }
+
+        public Out flag(boolean v) {
+            return step(() -> out.writeBoolean(v));
+        }
+
+        public Out text(String v) {
+            return blob(v.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+        }
+
+        public Out blob(byte[] v) {
+            return step(() -> {
+                out.writeInt(v.length);
+                out.write(v);
+            });
+        }
+
+        public <T> Out list(Collection<T> l, Put<T> p) {
+            i32(l.size());
+            l.forEach(t -> p.put(this, t));
+            return this;
+        }
+
+        public Out texts(Collection<String> l) {
+            return list(l, Out::text);
+        }
+
+        public byte[] bytes() {
+            return bytes.toByteArray();
+        }
+    }
+
+    public static final class In {
+        private final DataInputStream in;
+        private final int size;
+        public final int type;
+
+        public In(byte[] b, boolean typed) {
+            in = new DataInputStream(new ByteArrayInputStream(b));
+            size = b.length;
+            type = typed ? u8() : 0;
+        }
+
+        @FunctionalInterface
+        private interface Step<T> {
+            T run() throws IOException;
+        }
+
+        private <T> T step(Step<T> s) {
+            try {
+                return s.run();
+            } catch (IOException e) {
+                throw Fault.here(Fault.Code.RECORD, "read record", "type " + type + " is cut short");
+            }
+        }
+
+        public int u8() {
+            return step(in::readUnsignedByte);
+        }
+
+        public int i32() {
+            return step(in::readInt);
+        }
+
+        public long i64() {
+            return step(in::readLong);
+        }
+
+        public double f64() {
+            return step(in::readDouble);
+        }
+
+        public boolean flag() {
+            return step(in::readBoolean);
+        }
+
+        public String text() {
+            return new String(blob(), java.nio.charset.StandardCharsets.UTF_8);
+        }
+
+        public byte[] blob() {
+            var n = i32();
+            if (n < 0 || n > size) {
+                throw Fault.here(Fault.Code.RECORD, "read record", "type " + type + " has a length out of bounds");
+            }
+            var b = new byte[n];
+            step(() -> {
+                in.readFully(b);
+                return b;
+            });
+            return b;
+        }
+
+        public <T> List<T> list(java.util.function.Function<In, T> f) {
+            var n = i32();
+            if (n < 0 || n > size) {
+                throw Fault.here(Fault.Code.RECORD, "read record", "type " + type + " has a count out of bounds");
+            }
+            var l = new ArrayList<T>(n);
+            for (var i = 0; i < n; i++) {
+                l.add(f.apply(this));
+            }
+            return l;
+        }
+
+        public List<String> texts() {
+            return list(In::text);
+        }
+    }
+}
--- /dev/null
+++ b/galley/src/main/java/martenloom/galley/sibling/Links.java
@@ -0,0 +1,240 @@
+package martenloom.galley.sibling;
+
+import io.activej.bytebuf.*;
+import io.activej.eventloop.*;
+import io.activej.net.*;
+import io.activej.net.socket.tcp.*;
+import io.activej.reactor.net.*;
+import java.io.*;
+import java.net.*;
+import java.util.*;
+import java.util.function.*;
+import martenloom.galley.clock.*;
+import martenloom.galley.log.*;
+
+/**
+ * Links between daemons: length-prefixed records over ActiveJ's TCP sockets. A Dial keeps one outgoing link alive,
+ * opening it again after a pause and giving it up after a silence; Inbound takes links in. What waits to be written on
+ * a link is bounded: a sibling that does not read loses its link, not our memory.
+ */
+public final class Links {
+    public static final int MAX_FRAME = 24 << 20;
+    private static final int MAX_WAITING = 32 << 20;
+    private static final SocketSettings SOCKET = SocketSettings.builder().withTcpNoDelay(true).build();
+
+    private Links() {}
+
+    public interface Handler {
+        void onRecord(Link l, byte[] rec);
+
+        void onClosed(Link l);
+    }
+
+    /** One open link in either direction. The tag is free for the owner's use. */
+    public static final class Link {
+        private final ITcpSocket sock;
+        private final Handler h;
+        private byte[] buf = new byte[1024];
+        private int len;
+        private int waiting;
+        private boolean open = true;
+        public long heardUs = Clocks.nowUs();
+        public Object tag = "";
+        public String peer;
+
+        private Link(ITcpSocket s, String peer, Handler h) {
+            sock = s;
+            this.h = h;
+            this.peer = peer;
+        }
+
+        public boolean isOpen() {
+            return open;
+        }
+
+        public void send(byte[] rec) {
+            if (!open) {
+                return;
+            }
+            if (waiting > MAX_WAITING) {
+                RingLog.note("link " + peer + ": does not read, dropped");
+                close();
+                return;
+            }
+            var b = ByteBufPool.allocate(rec.length + 4);
+            b.writeInt(rec.length);
+            b.put(rec);
+            var n = rec.length + 4;
+            waiting += n;
+            sock.write(b).subscribe((v, e) -> {
+                waiting -= n;
+                if (e != null) {
+                    close();
+                }
+            });
+        }
+
+        public void close() {
+            if (open) {
+                open = false;
+                sock.close();
+                h.onClosed(this);
+            }
+        }
+
+        private void pump() {
+            while (open) {
+                var p = sock.read();
+                if (!p.isComplete()) {
+                    p.subscribe((b, e) -> {
+                        if (take(b, e)) {
+                            pump();
+                        }
+                    });
+                    return;
+                }
+                if (!take(p.isResult() ? p.getResult() : null, p.isException() ? p.getException() : null)) {
+                    return;
+                }
+            }
+        }
+
+        private boolean take(ByteBuf b, Exception e) {
+            if (e != null || b == null) {
+                close();
+                return false;
+            }
+            heardUs = Clocks.nowUs();
+            var n = b.readRemaining();
+            if (len + n > buf.length) {
+                buf = Arrays.copyOf(buf, Math.max(buf.length * 2, len + n));
+            }
+            b.drainTo(buf, len, n);
+            b.recycle();
+            len += n;
+            return cut();
+        }
+
+        private boolean cut() {
+            var at = 0;
+            while (open && len - at >= 4) {
+                var n = ((buf[at] & 255) << 24) | ((buf[at + 1] & 255) << 16) | ((buf[at + 2] & 255) << 8) | (buf[at + 3] & 255);
+                if (n < 1 || n > MAX_FRAME) {
+                    RingLog.wrong("link " + peer + ": record length " + n);
+                    close();
+                    return false;
+                }
+                if (len - at - 4 < n) {
+                    break;
+                }
+                var rec = Arrays.copyOfRange(buf, at + 4, at + 4 + n);
+                at += 4 + n;
+                try {
+                    h.onRecord(this, rec);
+                } catch (RuntimeException x) {
+                    RingLog.wrong("link " + peer + " record " + rec[0] + ": " + Clocks.trace(x));
+                }
+            }
+            System.arraycopy(buf, at, buf, 0, len - at);
+            len -= at;
+            if (len == 0 && buf.length > 65536) {
+                buf = new byte[1024];
+            }
+            return open;
+        }
+    }
+
+    /** An outgoing link that is kept up until stopped. */
+    public static final class Dial {
+        private final Eventloop loop;
+        private final InetSocketAddress to;
+        private final Handler h;
+        private final Consumer<Link> onUp;
+        private final long pauseUs;
+        private Optional<Link> link = Optional.empty();
+        private boolean stopped;
+
+        public Dial(Eventloop loop, InetSocketAddress to, long pauseUs, Consumer<Link> onUp, Handler h) {
+            this.loop = loop;
+            this.to = to;
+            this.h = h;
+            this.onUp = onUp;
+            this.pauseUs = pauseUs;
+            open();
+        }
+
+        public Optional<Link> link() {
+            return link;
+        }
+
+        public void send(byte[] rec) {
+            link.ifPresent(l -> l.send(rec));
+        }
+
+        public void stop() {
+            stopped = true;
+            link.ifPresent(Link::close);
+        }
+
+        /** Gives up a link that has been silent for longer than this. */
+        public void check(long silenceUs) {
+            link.filter(l -> Clocks.nowUs() - l.heardUs > silenceUs).ifPresent(l -> {
+                RingLog.note("link " + l.peer + ": silent, given up");
+                l.close();
+            });
+        }
+
+        private void open() {
+            if (stopped) {
+                return;
+            }
+            TcpSocket.connect(loop, to, 1500L, SOCKET).subscribe((s, e) -> {
+                if (e != null) {
+                    again();
+                } else if (stopped) {
+                    s.close();
+                } else {
+                    up(s);
+                }
+            });
+        }
+
+        private void again() {
+            Clocks.after(loop, pauseUs, this::open);
+        }
+
+        private void up(ITcpSocket s) {
+            var l = new Link(s, to.getAddress().getHostAddress(), new Handler() {
+                @Override
+                public void onRecord(Link l, byte[] rec) {
+                    h.onRecord(l, rec);
+                }
+
+                @Override
+                public void onClosed(Link l) {
+                    link = Optional.empty();
+                    h.onClosed(l);
+                    again();
+                }
+            });
+            link = Optional.of(l);
+            onUp.accept(l);
+            l.pump();
+        }
+    }
+
+    public static void listen(Eventloop loop, InetSocketAddress at, Handler h) throws IOException {
+        SimpleServer.builder(loop, s -> {
+                var l = new Link(s, remote(s), h);
+                l.pump();
+            })
+            .withSocketSettings(SOCKET)
+            .withListenAddress(at)
+            .build()
+            .listen();
+    }
+
+    private static String remote(ITcpSocket s) {
+        return s instanceof TcpSocket t && t.getRemoteAddress() != null ? t.getRemoteAddress().getAddress().getHostAddress() : "unknown";
+    }
+}
--- /dev/null
+++ b/kiosk/src/main/java/martenloom/kiosk/Kiosk.java
@@ -0,0 +1,101 @@
+package martenloom.kiosk;
+
+import io.activej.eventloop.*;
+import java.io.*;
+import java.nio.file.*;
+import java.util.*;
+import martenloom.galley.clock.*;
+import martenloom.galley.fault.*;
+import martenloom.galley.log.*;
+import martenloom.galley.props.*;
+import martenloom.newsstand.*;
+import martenloom.pantry.*;
+import martenloom.pantry.disk.*;
+
+/**
+ * The command line: starts one of the two roles, or hands over to a command for people. The roles avoid what only the
+ * commands need, for a start costs processor time.
+ */
+public final class Kiosk {
+    public static final String VERSION = "0.1.0";
+
+    private Kiosk() {}
+
+    public static void main(String[] args) {
+        try {
+            System.exit(run(args));
+        } catch (Fault f) {
+            System.err.println("martenloom: " + f.getMessage());
+            System.exit(f.code == Fault.Code.USAGE ? 2 : 1);
+        }
+    }
+
+    private static int run(String[] args) {
+        var verb = args.length == 0 ? "" : args[0];
+        return switch (verb) {
+            case "newsstand", "pantry" -> role(verb);
+            default -> Commands.run(args);
+        };
+    }
+
+    private static int role(String verb) {
+        var p = Props.load(Optional.ofNullable(System.getenv("MARTENLOOM_NODE_FILE")).orElse(""));
+        var loop = Clocks.reactor(verb);
+        loop.keepAlive(true);
+        ignoreHangup(p);
+        try {
+            if (verb.equals("newsstand")) {
+                newsstand(p, loop);
+            } else {
+                pantry(p, loop);
+            }
+        } catch (IOException e) {
+            throw Fault.here(Fault.Code.LINK, "listen", String.valueOf(e.getMessage()));
+        }
+        loop.run();
+        return 0;
+    }
+
+    private static void newsstand(Props p, Eventloop loop) throws IOException {
+        p.need("Frontend");
+        p.need("Readiness");
+        var n = new Newsstand(p, loop);
+        loop.execute(() -> starting(() -> n.start()));
+        Runtime.getRuntime().addShutdownHook(new Thread(n::leave, "leave"));
+    }
+
+    private static void pantry(Props p, Eventloop loop) throws IOException {
+        p.need("ControlPlane");
+        if (p.dataDir.isEmpty()) {
+            throw Fault.here(Fault.Code.SETTINGS, "check settings", "DataDirectory: missing, and this role needs it");
+        }
+        var c = new Pantry(p, loop, new Shelf.RealFolder(p.dataDir));
+        loop.execute(() -> starting(() -> c.start()));
+    }
+
+    @FunctionalInterface
+    private interface Start {
+        void run() throws IOException;
+    }
+
+    private static void starting(Start s) {
+        try {
+            s.run();
+        } catch (IOException | RuntimeException e) {
+            System.err.println("martenloom: " + Fault.here(Fault.Code.LINK, "listen", String.valueOf(e.getMessage())).getMessage());
+            Runtime.getRuntime().halt(1);
+        }
+    }
+
+    /** SIGHUP means that the settings file has changed: it is read and checked again, and a bad one is passed over. */
+    private static void ignoreHangup(Props p) {
+        sun.misc.Signal.handle(new sun.misc.Signal("HUP"), s -> {
+            try {
+                Props.load(System.getenv("MARTENLOOM_NODE_FILE"));
+                RingLog.note("settings read again");
+            } catch (Fault f) {
+                RingLog.wrong("settings changed and are not usable: " + f.getMessage());
+            }
+        });
+    }
+}
--- /dev/null
+++ b/newsstand/src/main/java/martenloom/newsstand/Newsstand.java
@@ -0,0 +1,461 @@
+package martenloom.newsstand;
+
+import io.activej.eventloop.*;
+import io.activej.http.*;
+import io.activej.net.*;
+import io.activej.reactor.net.*;
+import java.io.*;
+import java.net.*;
+import java.util.*;
+import java.util.concurrent.*;
+import martenloom.galley.clock.*;
+import martenloom.galley.fleet.*;
+import martenloom.galley.log.*;
+import martenloom.galley.props.*;
+import martenloom.galley.record.*;
+import martenloom.galley.sibling.*;
+import martenloom.menu.language.*;
+import martenloom.menu.route.*;
+import martenloom.newsstand.floor.*;
+import martenloom.newsstand.overload.*;
+import martenloom.newsstand.rack.*;
+
+/**
+ * The edge program: puts the floor on a reactor, subscribes to a home daemon of the core in its hall for setups,
+ * replicas and siblings, exchanges samples with the edges of its region, and sends and takes overload reports. When the
+ * core is lost, it goes on with the last good state.
+ */
+public final class Newsstand implements Links.Handler {
+    private static final long RENEW_US = 400_000;
+    private static final long SAMPLE_US = 100_000;
+    private static final long REPORT_US = 250_000;
+    private static final long STALE_US = 1_500_000;
+    private static final long SILENCE_US = 1_400_000;
+
+    private final Props props;
+    private final Eventloop loop;
+    private final Floor floor;
+    private final Rack rack;
+    private final long life = System.nanoTime() ^ ThreadLocalRandom.current().nextLong();
+    private final Set<String> cores = new LinkedHashSet<>();
+    private final Map<String, Long> avoid = new HashMap<>();
+    private final Map<String, Links.Dial> siblings = new TreeMap<>();
+    private final Map<String, Rows.Edge> edges = new TreeMap<>();
+    private final Map<String, Overload.Reporter> reporters = new TreeMap<>();
+    private final Map<String, Duty> duties = new TreeMap<>();
+    private Optional<Links.Dial> home = Optional.empty();
+    private String homeIp = "";
+    private long homeSinceUs;
+    private long seq;
+    private long edition = -1;
+    private long revision;
+    private boolean ready;
+    private boolean leaving;
+    private boolean synced;
+    private long firstNewsUs;
+    private int mismatches;
+    private int most = 1;
+    private int turn;
+
+    /** A duty this edge holds, until a moment on its own clock. */
+    private static final class Duty {
+        long grant;
+        long untilUs;
+    }
+
+    public Newsstand(Props p, Eventloop loop) {
+        props = p;
+        this.loop = loop;
+        rack = new Rack(p);
+        floor = new Floor(loop, p, rack);
+        p.seeds.forEach(s -> cores.add(s.substring(0, s.lastIndexOf(':'))));
+    }
+
+    public Floor floor() {
+        return floor;
+    }
+
+    public void start() throws IOException {
+        Links.listen(loop, new InetSocketAddress(InetAddress.getByName(props.ip), props.portLow), this);
+        HttpServer.builder(loop, q -> HttpResponse.ofCode(ready && !leaving ? 200 : 503).withPlainText(ready && !leaving ? "ready" : "not ready").toPromise())
+            .withListenAddress(Props.address("Readiness", props.need("Readiness")))
+            .build()
+            .listen();
+        SimpleServer.builder(loop, s -> new Requester(loop, s, floor))
+            .withSocketSettings(SocketSettings.builder().withTcpNoDelay(true).build())
+            .withListenAddress(Props.address("Frontend", props.need("Frontend")))
+            .build()
+            .listen();
+        pickHome();
+        Clocks.every(loop, 20_000, floor::tick);
+        Clocks.every(loop, 500_000, floor::sweep);
+        Clocks.every(loop, RENEW_US, this::renew);
+        Clocks.every(loop, SAMPLE_US, this::sample);
+        Clocks.every(loop, REPORT_US, this::report);
+        RingLog.say("newsstand " + props.name + " listens at " + props.need("Frontend"));
+    }
+
+    // ---- leaving
+
+    /** Called from another thread at SIGTERM; returns when everything in hand is finished or the grace is nearly over. */
+    public void leave() {
+        var done = new CountDownLatch(1);
+        var t0 = Clocks.nowUs();
+        loop.execute(() -> {
+            leaving = true;
+            RingLog.note("leaving");
+            renew();
+            Clocks.after(loop, 1_800_000, floor::leave);
+            var g = (long) (props.bounds.graceS * 1_000_000);
+            waitOut(t0 + g - 900_000, t0 + Math.min(4_200_000, g * 6 / 10), done);
+        });
+        try {
+            done.await((long) (props.bounds.graceS * 1000) - 500, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void waitOut(long endUs, long lingerUs, CountDownLatch done) {
+        var now = Clocks.nowUs();
+        if (now >= endUs || now >= lingerUs && floor.inHand() == 0) {
+            floor.closeIdle();
+            done.countDown();
+            return;
+        }
+        Clocks.after(loop, 50_000, () -> waitOut(endUs, lingerUs, done));
+    }
+
+    // ---- the home
+
+    private void pickHome() {
+        var now = Clocks.nowUs();
+        var l = new ArrayList<>(cores);
+        var net = props.ip.substring(0, props.ip.lastIndexOf('.') + 1);
+        l.sort(Comparator.<String>comparingLong(c -> avoid.getOrDefault(c, 0L) > now ? 1 : 0)
+            .thenComparing(c -> !c.startsWith(net))
+            .thenComparingInt(c -> (c + props.ip).hashCode()));
+        if (l.isEmpty()) {
+            return;
+        }
+        homeIp = l.get(0);
+        homeSinceUs = now;
+        synced = false;
+        home = Optional.of(new Links.Dial(loop, Props.address("home", homeIp + ":" + props.portLow), 150_000, x -> {
+            x.send(new Rec.Out(Rows.RESYNC).bytes());
+            x.send(renewal());
+        }, this));
+    }
+
+    private void leaveHome(String why) {
+        RingLog.note("home " + homeIp + " is left: " + why);
+        avoid.put(homeIp, Clocks.nowUs() + 3_000_000);
+        home.ifPresent(Links.Dial::stop);
+        pickHome();
+    }
+
+    private byte[] renewal() {
+        var now = Clocks.nowUs();
+        var e = new Rows.Edge();
+        e.ip = props.ip;
+        e.name = props.name;
+        e.hall = props.hall;
+        e.region = props.region;
+        e.front = props.need("Frontend");
+        e.ready = ready;
+        e.leaving = leaving;
+        e.life = life;
+        e.seq = ++seq;
+        e.revision = revision;
+        e.heardUs = now;
+        var o = new Rec.Out(Rows.RENEW);
+        e.write(o, now);
+        return o.i64(now).texts(wants()).bytes();
+    }
+
+    private Collection<String> wants() {
+        var w = new TreeSet<String>();
+        if (ready && !leaving) {
+            floor.table().services.values().stream().filter(s -> s.engine).forEach(s -> w.add(props.region + "/" + s.model));
+        }
+        return w;
+    }
+
+    private void renew() {
+        var now = Clocks.nowUs();
+        var l = home.flatMap(Links.Dial::link);
+        if (l.isPresent()) {
+            if (now - l.get().heardUs > SILENCE_US) {
+                leaveHome("silent");
+                return;
+            }
+            l.get().send(renewal());
+        } else if (now - homeSinceUs > 700_000) {
+            leaveHome("not reached");
+        }
+    }
+
+    private void onNews(Rec.In in) {
+        var now = Clocks.nowUs();
+        in.i64();
+        var up = in.i64();
+        var stale = in.i64();
+        var ed = in.i64();
+        var digest = in.i32();
+        cores.addAll(in.texts());
+        var es = in.list(x -> Rows.Edge.read(x, now));
+        es.forEach(e -> edges.merge(e.ip, e, (a, b) -> b.newer(a) || b.life == a.life ? b : a));
+        edges.values().removeIf(e -> now - e.heardUs > 12_000_000);
+        count(now);
+        mismatches = digest == rack.digest() ? 0 : mismatches + 1;
+        if (mismatches > 2) {
+            mismatches = 0;
+            home.ifPresent(d -> d.send(new Rec.Out(Rows.RESYNC).bytes()));
+        }
+        if (stale < STALE_US) {
+            homeSinceUs = now;
+            if (firstNewsUs == 0 && edition > 0) {
+                firstNewsUs = now;
+            }
+        } else if (now - homeSinceUs > STALE_US && cores.size() > 1) {
+            leaveHome("stale by " + stale / 1000 + " ms");
+            return;
+        }
+        becomeReady(now, up);
+    }
+
+    private void count(long now) {
+        var n = 0;
+        for (var e : edges.values()) {
+            n += now - e.heardUs < 10_000_000 ? 1 : 0;
+        }
+        most = Math.max(most, n);
+        floor.onEdges(Math.max(most, n));
+    }
+
+    private void becomeReady(long now, long up) {
+        if (ready || edition <= 0 || revision == 0 || firstNewsUs == 0) {
+            return;
+        }
+        var t = floor.table();
+        var known = t.services.keySet().stream().allMatch(s -> !rack.of(s).isEmpty());
+        if (known && synced && up > props.beatMs * 1500L || now - firstNewsUs > 3_000_000) {
+            ready = true;
+            RingLog.say("newsstand " + props.name + " ready, revision " + revision + ", " + rack.all().size() + " replicas");
+            renew();
+        }
+    }
+
+    private void onSetup(Rec.In in) {
+        var ed = in.i64();
+        var rev = in.i64();
+        var menu = in.text();
+        var ev = in.texts();
+        if (ed <= edition || rev < revision) {
+            return;
+        }
+        if (rev > revision) {
+            floor.onTable(MenuText.compile(menu));
+            revision = rev;
+        }
+        edition = ed;
+        floor.onEvacuated(Set.copyOf(ev), Clocks.nowUs());
+    }
+
+    private void onReplicas(Rec.In in) {
+        var now = Clocks.nowUs();
+        var whole = in.flag();
+        var rs = in.list(x -> Rows.Replica.read(x, now));
+        rs.forEach(floor::onReplica);
+        if (whole) {
+            synced = true;
+            var ids = new HashSet<String>();
+            rs.forEach(r -> ids.add(r.id));
+            for (var s : List.copyOf(rack.all())) {
+                if (!ids.contains(s.row.id) && now - s.heardUs > 10_000_000 && s.legs.isEmpty()) {
+                    rack.drop(s);
+                }
+            }
+        }
+    }
+
+    // ---- siblings
+
+    private void dialSiblings() {
+        var now = Clocks.nowUs();
+        for (var e : edges.values()) {
+            if (!e.ip.equals(props.ip) && !siblings.containsKey(e.ip)) {
+                siblings.put(e.ip, new Links.Dial(loop, Props.address("sibling", e.ip + ":" + props.portLow), 300_000,
+                    l -> l.send(new Rec.Out(Rows.HELLO).text(props.ip).bytes()), this));
+            }
+        }
+        for (var ip : List.copyOf(siblings.keySet())) {
+            if (!edges.containsKey(ip)) {
+                siblings.remove(ip).stop();
+            }
+        }
+        most = Math.max(most, 1);
+    }
+
+    private void sample() {
+        turn++;
+        if (turn % 5 == 0) {
+            dialSiblings();
+        }
+        var b = sampled(false);
+        var far = turn % 5 == 0 ? sampled(true) : new byte[0];
+        siblings.forEach((ip, d) -> {
+            var e = edges.get(ip);
+            if (e != null && e.region.equals(props.region)) {
+                d.send(b);
+            } else if (far.length > 0) {
+                d.send(far);
+            }
+        });
+    }
+
+    private byte[] sampled(boolean far) {
+        var now = Clocks.nowUs();
+        var l = rack.all().stream().filter(s -> !far && (s.mine > 0 || s.suspectUntilUs > now) || far && s.mine > 1 && s.region.equals(props.region)).toList();
+        return new Rec.Out(Rows.SAMPLE).text(props.ip).list(l, (o, s) ->
+            o.text(s.row.id).i32(s.mine).i32(s.unread).flag(s.suspectUntilUs > now && s.doubtful)).bytes();
+    }
+
+    private void onSample(Rec.In in) {
+        var now = Clocks.nowUs();
+        var ip = in.text();
+        var seen = new HashSet<String>();
+        in.list(x -> {
+            var id = x.text();
+            var o = new Rack.Other();
+            o.inHand = x.i32();
+            o.unread = x.i32();
+            o.suspect = x.flag();
+            o.atUs = now;
+            seen.add(id);
+            rack.slot(id).ifPresent(s -> s.others.put(ip, o));
+            return id;
+        });
+        for (var s : rack.all()) {
+            if (!seen.contains(s.row.id)) {
+                s.others.remove(ip);
+            }
+        }
+    }
+
+    // ---- overload reports
+
+    private void onGrant(Rec.In in) {
+        in.text();
+        var d = duties.computeIfAbsent(in.text(), k -> new Duty());
+        d.grant = in.i64();
+        var stamp = in.i64();
+        d.untilUs = Math.max(d.untilUs, stamp + in.i64() - 300_000);
+    }
+
+    private void report() {
+        var now = Clocks.nowUs();
+        duties.forEach((key, d) -> {
+            if (now < d.untilUs) {
+                var r = reporters.computeIfAbsent(key, k -> new Overload.Reporter());
+                r.granted(d.grant);
+                var i = key.indexOf('/');
+                r.observe(key.substring(0, i), key.substring(i + 1), props.ip, pressure(key.substring(i + 1), now)).ifPresent(this::tell);
+            } else {
+                reporters.remove(key);
+            }
+        });
+    }
+
+    /** Predicted time to a first token of a new, cold prompt of usual size at this region's replicas, against the aim. */
+    private double pressure(String model, long now) {
+        var aim = Long.MAX_VALUE;
+        var t = floor.table();
+        for (var r : t.routes) {
+            var s = r.shares.isEmpty() ? null : t.services.get(r.shares.get(0).service);
+            if (s != null && s.engine && s.model.equals(model) && r.aimUs > 0) {
+                aim = Math.min(aim, r.aimUs);
+            }
+        }
+        var sum = 0.0;
+        var n = 0;
+        for (var s : rack.all()) {
+            var svc = t.services.get(s.row.service);
+            if (svc == null || !svc.engine || !svc.model.equals(model) || !s.region.equals(props.region) || s.row.gone || s.row.draining || s.row.silent
+                || floor.evacuated().contains(s.row.hall)) {
+                continue;
+            }
+            var in = s.mine + s.othersInHand(now);
+            var cap = Math.max(1, s.row.capacity);
+            var us = 20_000 + (s.unread + s.othersUnread(now)) / s.rate * 1000 + in * 700.0 + (in > cap ? (in - cap) * 15_000.0 : 0);
+            sum += now < s.suspectUntilUs ? aim : us;
+            n++;
+        }
+        return n == 0 ? 4 : sum / n / aim;
+    }
+
+    private void tell(Overload.Report r) {
+        var o = new Rec.Out(Rows.REPORT);
+        r.write(o);
+        var b = o.bytes();
+        RingLog.note("report " + r);
+        siblings.forEach((ip, d) -> {
+            var e = edges.get(ip);
+            if (e != null && !e.region.equals(props.region)) {
+                d.send(b);
+            }
+        });
+    }
+
+    // ---- records
+
+    @Override
+    public void onRecord(Links.Link l, byte[] rec) {
+        var in = new Rec.In(rec, true);
+        switch (in.type) {
+            case Rows.HELLO -> l.peer = in.text();
+            case Rows.NEWS -> onNews(in);
+            case Rows.SETUP -> onSetup(in);
+            case Rows.REPLICAS -> onReplicas(in);
+            case Rows.DUTY_GRANT -> onGrant(in);
+            case Rows.SAMPLE -> onSample(in);
+            case Rows.REPORT -> floor.reports.take(Overload.Report.read(in), Clocks.nowUs());
+            case 90 -> l.send(new Rec.Out(91).text(query(in.text())).bytes());
+            default -> RingLog.note("link " + l.peer + ": unknown record " + in.type);
+        }
+    }
+
+    @Override
+    public void onClosed(Links.Link l) {
+        RingLog.note("link " + l.peer + " closed");
+    }
+
+    // ---- the shell
+
+    private String query(String q) {
+        var now = Clocks.nowUs();
+        var b = new StringBuilder();
+        switch (q) {
+            case "counters" -> {
+                var c = floor.counters;
+                b.append(String.format("errands %d served %d refused %d failed %d repeats %d spilled %d timeouts %d moved %d in-hand %d connections %d edges %d\n", c.errands, c.served,
+                    c.refused, c.failed, c.repeats, c.spilled, c.timeouts, c.moved, floor.inHand(), floor.connections(), floor.edges()));
+            }
+            case "overload" -> floor.reports.states().forEach((k, s) -> {
+                floor.reports.tick(s, now);
+                b.append(String.format("%s %s share %.2f considered %d selected %d spilled %d held %d stale %d", k, s.phase, s.share, s.considered, s.selected, s.spilled, s.held, s.stale));
+                s.report.ifPresent(r -> b.append(String.format(" reporter %s sequence %d.%d valid %d ms algorithm %s percent %d", r.reporter(), r.seq().grant(), r.seq().counter(),
+                    Math.max(0, s.untilUs - now) / 1000, r.algorithm(), r.percent())));
+                b.append('\n');
+            });
+            case "leases" -> duties.forEach((k, d) -> b.append(String.format("%s grant %d left %d ms\n", k, d.grant, Math.max(0, d.untilUs - now) / 1000)));
+            case "replicas" -> rack.all().forEach(s -> b.append(String.format("%s %s %s in-hand %d others %d unread %d rate %.1f work %d us rtt %d us%s%s\n", s.row.id, s.row.service,
+                s.row.hall, s.mine, s.othersInHand(now), s.unread, s.rate, (long) s.workUs, (long) s.rttUs, s.row.draining ? " draining" : "", now < s.suspectUntilUs ? " suspect" : "")));
+            case "setup" -> b.append(MenuText.write(floor.table()));
+            case "home" -> b.append(homeIp).append(ready ? " ready" : " not ready").append(" edition ").append(edition).append(" revision ").append(revision).append('\n');
+            case "log" -> b.append(RingLog.tail(200));
+            default -> b.append("? counters overload leases replicas setup home log\n");
+        }
+        return b.toString();
+    }
+}
--- /dev/null
+++ b/newsstand/src/main/java/martenloom/newsstand/floor/ReplicaWire.java
@@ -0,0 +1,222 @@
+package martenloom.newsstand.floor;
+
+import io.activej.net.socket.tcp.*;
+import java.util.*;
+import martenloom.galley.clock.*;
+import martenloom.newsstand.head.*;
+import martenloom.newsstand.rack.*;
+
+/**
+ * One connection to a replica. It serves one leg at a time and reads that leg's answer; an answer with another id is
+ * one too many from before and is passed over. Anything unexpected - bytes while idle, bytes behind an answer, what is
+ * no answer - ends the connection, which is then never used again.
+ */
+public final class ReplicaWire implements Wire.Owner {
+    private enum State { IDLE, HEAD, BODY, CLOSED }
+
+    private static final int MOST = 1 << 20;
+
+    private final Wire wire;
+    private final Rack.Slot slot;
+    private State state = State.IDLE;
+    private Optional<Leg> leg = Optional.empty();
+    private boolean skipping;
+    private int skips;
+    private int left;
+    private boolean lastAnswer;
+    private Optional<Chunks> chunks = Optional.empty();
+    private long idleUntilUs = Long.MAX_VALUE;
+
+    public ReplicaWire(ITcpSocket s, Rack.Slot slot) {
+        this.slot = slot;
+        wire = new Wire(s, 1 << 18, this);
+        wire.start();
+    }
+
+    public boolean usable(long now) {
+        return state == State.IDLE && wire.isOpen() && now < idleUntilUs;
+    }
+
+    public void send(Leg l, byte[] head, byte[] body) {
+        leg = Optional.of(l);
+        state = State.HEAD;
+        skipping = false;
+        skips = 0;
+        lastAnswer = false;
+        var all = Arrays.copyOf(head, head.length + body.length);
+        System.arraycopy(body, 0, all, head.length, body.length);
+        wire.write(all);
+    }
+
+    public void hold(boolean h) {
+        wire.hold(h);
+    }
+
+    public boolean sentAll() {
+        return wire.waiting() == 0;
+    }
+
+    @Override
+    public void onBytes() {
+        slot.heardUs = Clocks.nowUs();
+        slot.quietSinceUs = 0;
+        slot.doubtful = false;
+        try {
+            while (wire.size() > 0 && state != State.CLOSED && step()) {}
+        } catch (Head.BadHead e) {
+            close();
+        }
+    }
+
+    private boolean step() {
+        return switch (state) {
+            case IDLE -> {
+                close();
+                yield false;
+            }
+            case HEAD -> head();
+            case BODY -> body();
+            case CLOSED -> false;
+        };
+    }
+
+    private boolean head() {
+        var e = Head.end(wire.buf, wire.from, wire.to);
+        if (e < 0) {
+            if (wire.size() > 65536 || !plausible()) {
+                close();
+            }
+            return false;
+        }
+        var h = Head.answer(wire.buf, wire.from, e);
+        wire.used(e - wire.from);
+        if (h.status() / 100 == 1) {
+            return true;
+        }
+        var n = h.length(502);
+        if (!h.has("Transfer-Encoding") && !h.has("Content-Length") && h.status() != 204 && h.status() != 304) {
+            throw new Head.BadHead(502, "an answer without an end");
+        }
+        lastAnswer = h.closes();
+        idleUntilUs = Clocks.nowUs() + keepUs(h);
+        skipping = h.has("X-Attempt-Id") && !h.get("X-Attempt-Id").equals(leg.get().errand.id);
+        if (skipping && ++skips > 2) {
+            throw new Head.BadHead(502, "answers of others");
+        }
+        chunks = n < 0 ? Optional.of(new Chunks(502)) : Optional.empty();
+        left = Math.max(0, n);
+        if (left > MOST * 16) {
+            throw new Head.BadHead(502, "length");
+        }
+        state = State.BODY;
+        if (!skipping) {
+            leg.get().onHead(h);
+        }
+        if (state == State.BODY && chunks.isEmpty() && left == 0) {
+            finish();
+        }
+        return true;
+    }
+
+    private static long keepUs(Head h) {
+        for (var t : h.get("Keep-Alive").split(",")) {
+            var s = t.strip();
+            if (s.startsWith("timeout=")) {
+                try {
+                    return Math.max(0, Long.parseLong(s.substring(8).strip()) * 1_000_000 - 1_000_000);
+                } catch (NumberFormatException e) {
+                    return 2_000_000;
+                }
+            }
+        }
+        return 10_000_000;
+    }
+
+    private boolean plausible() {
+        var w = "HTTP/1.";
+        for (var i = 0; i < Math.min(w.length(), wire.size()); i++) {
+            if (wire.buf[wire.from + i] != w.charAt(i)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private boolean body() {
+        if (chunks.isPresent()) {
+            var c = chunks.get();
+            var n = c.take(wire.buf, wire.from, wire.to, this::give);
+            if (state == State.CLOSED) {
+                return false;
+            }
+            wire.used(n - wire.from);
+            if (c.done()) {
+                finish();
+            }
+            return true;
+        }
+        var n = Math.min(left, wire.size());
+        var f = wire.from;
+        give(wire.buf, f, n);
+        if (state == State.CLOSED) {
+            return false;
+        }
+        wire.used(n);
+        left -= n;
+        if (left == 0) {
+            finish();
+        }
+        return true;
+    }
+
+    private void give(byte[] b, int from, int n) {
+        if (!skipping && leg.isPresent()) {
+            leg.get().onBody(b, from, n);
+        }
+    }
+
+    private void finish() {
+        if (skipping) {
+            skipping = false;
+            state = State.HEAD;
+            if (lastAnswer) {
+                close();
+            }
+            return;
+        }
+        var l = leg.get();
+        leg = Optional.empty();
+        state = State.IDLE;
+        var again = !lastAnswer && skips == 0 && wire.size() == 0 && wire.isOpen() && !slot.row.gone && !slot.row.draining;
+        if (again) {
+            wire.hold(false);
+            slot.idle.addFirst(this);
+        } else {
+            close();
+        }
+        l.onEnd();
+    }
+
+    @Override
+    public void onClosed() {
+        if (state == State.CLOSED) {
+            return;
+        }
+        state = State.CLOSED;
+        slot.open--;
+        slot.idle.remove(this);
+        var l = leg;
+        leg = Optional.empty();
+        l.ifPresent(Leg::onBroken);
+    }
+
+    public void close() {
+        wire.close();
+    }
+
+    /** Lets go of the leg and ends the connection, so that the replica drops what it runs for it. */
+    public void abandon() {
+        leg = Optional.empty();
+        close();
+    }
+}
--- /dev/null
+++ b/newsstand/src/main/java/martenloom/newsstand/rack/Rack.java
@@ -0,0 +1,208 @@
+package martenloom.newsstand.rack;
+
+import it.unimi.dsi.fastutil.objects.*;
+import java.net.*;
+import java.util.*;
+import martenloom.galley.clock.*;
+import martenloom.galley.fleet.*;
+import martenloom.galley.props.*;
+import martenloom.menu.route.*;
+import martenloom.newsstand.floor.*;
+
+/**
+ * The replicas as this edge sees them, one slot a life: the registry's row, what our own legs and our siblings' samples
+ * say of its load, which parts of prompts it keeps, how fast it was seen to read, whether it is warm, and whether it
+ * answers at all. Predicts the time to a first token; the choice itself is the floor's.
+ */
+public final class Rack {
+    private static final double FIRST_RATE = 25;
+    private static final long OTHERS_US = 1_200_000;
+
+    public static final class Other {
+        public int inHand;
+        public int unread;
+        public boolean suspect;
+        public long atUs;
+    }
+
+    public static final class Slot {
+        public Rows.Replica row;
+        public String region = "";
+        public final InetSocketAddress address;
+        public final ArrayDeque<ReplicaWire> idle = new ArrayDeque<>();
+        public final Set<Leg> legs = new LinkedHashSet<>();
+        public int open;
+        public int mine;
+        public int unread;
+        public final Map<String, Other> others = new HashMap<>();
+        public double rate = FIRST_RATE;
+        public double workUs = 30_000;
+        public double rttUs = 1_000;
+        public long heardUs;
+        public long quietSinceUs;
+        public long suspectUntilUs;
+        public boolean doubtful;
+        public long coldFloorUs;
+        public long fullUntilUs;
+        private final ArrayDeque<Long> coldSends = new ArrayDeque<>();
+        private final Object2IntLinkedOpenHashMap<String> kept = new Object2IntLinkedOpenHashMap<>();
+        private long keptTokens;
+
+        private Slot(Rows.Replica r) {
+            row = r;
+            address = Props.address("Address", r.address);
+        }
+
+        public int othersInHand(long now) {
+            var n = 0;
+            for (var o : others.values()) {
+                if (now - o.atUs < OTHERS_US) {
+                    n += o.inHand;
+                }
+            }
+            return n;
+        }
+
+        public int othersUnread(long now) {
+            var n = 0;
+            for (var o : others.values()) {
+                if (now - o.atUs < OTHERS_US) {
+                    n += o.unread;
+                }
+            }
+            return n;
+        }
+
+        public boolean othersDoubt(long now) {
+            for (var o : others.values()) {
+                if (o.suspect && now - o.atUs < 600_000 && now - heardUs > 300_000) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
+        public boolean warm(long now) {
+            return now >= Math.max(row.warmAtUs, coldFloorUs);
+        }
+
+        public int coldSends(long now) {
+            while (!coldSends.isEmpty() && now - coldSends.peekFirst() > 1_050_000) {
+                coldSends.pollFirst();
+            }
+            return coldSends.size();
+        }
+
+        public void sentAt(long now) {
+            coldSends.addLast(now);
+            while (coldSends.size() > 256) {
+                coldSends.pollFirst();
+            }
+        }
+
+        /** Tokens of this errand that the replica would have to read. */
+        public int unread(Errand e, boolean assumeShared) {
+            if (e.sizes.isEmpty()) {
+                return e.promptTokens;
+            }
+            var n = 0;
+            var all = true;
+            for (var i = 0; i < e.sizes.size(); i++) {
+                all = all && (kept.containsKey(e.parts.get(i)) || assumeShared && i + 1 < e.sizes.size());
+                n += all ? 0 : e.sizes.get(i);
+            }
+            return Math.max(n, 1);
+        }
+
+        public void keep(Errand e, long most) {
+            for (var i = 0; i < e.sizes.size(); i++) {
+                var p = e.parts.get(i);
+                if (kept.containsKey(p)) {
+                    kept.getAndMoveToLast(p);
+                } else {
+                    kept.putAndMoveToLast(p, e.sizes.get(i));
+                    keptTokens += e.sizes.get(i);
+                }
+            }
+            while (!kept.isEmpty() && (keptTokens > most * 0.7 || kept.size() > 4096)) {
+                keptTokens -= kept.removeFirstInt();
+            }
+        }
+
+        public boolean has(String part) {
+            return kept.containsKey(part);
+        }
+    }
+
+    private final Map<String, Slot> slots = new HashMap<>();
+    private final Map<String, List<Slot>> byService = new HashMap<>();
+    private final Props props;
+
+    public Rack(Props p) {
+        props = p;
+    }
+
+    public Collection<Slot> all() {
+        return slots.values();
+    }
+
+    public Optional<Slot> slot(String id) {
+        return Optional.ofNullable(slots.get(id));
+    }
+
+    public List<Slot> of(String service) {
+        return byService.getOrDefault(service, List.of());
+    }
+
+    /** Takes a row; gives the slot when it is now gone, so that what is in its hands can be looked after. */
+    public void take(Rows.Replica r) {
+        var s = slots.get(r.id);
+        if (s == null) {
+            if (r.gone) {
+                return;
+            }
+            s = new Slot(r);
+            s.region = props.regionOf(r.hall);
+            s.heardUs = Clocks.nowUs();
+            slots.put(r.id, s);
+            byService.computeIfAbsent(r.service, k -> new ArrayList<>()).add(s);
+            return;
+        }
+        if (r.seq >= s.row.seq || r.gone) {
+            var g = s.row.gone;
+            s.row = r;
+            s.row.gone |= g;
+        }
+        if (s.row.gone) {
+            drop(s);
+        }
+    }
+
+    public void drop(Slot s) {
+        s.row.gone = true;
+        slots.remove(s.row.id);
+        byService.getOrDefault(s.row.service, new ArrayList<>()).remove(s);
+        List.copyOf(s.idle).forEach(ReplicaWire::close);
+    }
+
+    public int digest() {
+        var d = 0;
+        for (var s : slots.values()) {
+            d += s.row.gone ? 0 : s.row.digest();
+        }
+        return d;
+    }
+
+    /** Predicted time from now to the first token (or the whole answer, for a plain service), in microseconds. */
+    public double predict(Slot s, RouteTable.Service svc, Errand e, boolean assumeShared, long now) {
+        var in = s.mine + s.othersInHand(now);
+        var cap = Math.max(1, s.row.capacity);
+        if (!svc.engine) {
+            var wait = in < cap ? 0 : (in - cap + 1.0) / cap * s.workUs;
+            return s.rttUs + s.workUs + wait + in * s.workUs * 0.05;
+        }
+        var ahead = (s.unread + s.othersUnread(now)) * (e.route.rank == 0 ? 0.5 : 1);
+        var t = s.rttUs + 20_000 + (ahead + s.unread(e, assumeShared)) / s.rate * 1000 + in * 700.0;
+        return in < cap ? t : t + (in - cap + 1) * 15_000.0;
+    }
+}
--- /dev/null
+++ b/pantry/src/main/java/martenloom/pantry/Pantry.java
@@ -0,0 +1,404 @@
+package martenloom.pantry;
+
+import io.activej.eventloop.*;
+import io.activej.http.*;
+import java.io.*;
+import java.net.*;
+import java.security.*;
+import java.time.*;
+import java.util.*;
+import java.util.function.*;
+import martenloom.galley.clock.*;
+import martenloom.galley.fault.*;
+import martenloom.galley.fleet.*;
+import martenloom.galley.log.*;
+import martenloom.galley.props.*;
+import martenloom.galley.record.*;
+import martenloom.galley.sibling.*;
+import martenloom.pantry.chain.*;
+import martenloom.pantry.desk.*;
+import martenloom.pantry.disk.*;
+import martenloom.pantry.registry.*;
+import martenloom.pantry.state.*;
+
+/**
+ * The core program: puts the chain, its disk, the registry and the desk on one reactor, and carries records between
+ * the core daemons and to the edges that made this daemon their home. The chain's commands are carried out here and
+ * nowhere else.
+ */
+public final class Pantry implements Links.Handler {
+    private static final long TICK_US = 50_000;
+    private static final long FLOOD_US = 100_000;
+    private static final long DIGEST_US = 500_000;
+    private static final long ASK_US = 2_500_000;
+    private static final long SILENCE_US = 2_000_000;
+
+    private final Props props;
+    private final Eventloop loop;
+    private final Shelf shelf;
+    private final ChainCore chain;
+    private final FleetBook book;
+    private final DutyDesk duties;
+    private final Map<String, Links.Dial> dials = new TreeMap<>();
+    private final Map<String, Links.Link> homes = new LinkedHashMap<>();
+    private final Map<Long, BiConsumer<Integer, String>> asked = new HashMap<>();
+    private final Map<Long, Runnable> remote = new HashMap<>();
+    private final long startUs = Clocks.nowUs();
+    private long errands;
+    private int turn;
+
+    public Pantry(Props p, Eventloop loop, Shelf.Folder folder) {
+        props = p;
+        this.loop = loop;
+        shelf = new Shelf(folder);
+        var disk = shelf.load().map(ChainCore.Ledger::of);
+        if (disk.isEmpty() && p.bootstrap && founder()) {
+            disk = Optional.of(new ChainCore.Ledger(ChainCore.Ballot.ZERO, ChainCore.Ballot.ZERO, CoreState.founded(seedIps())));
+            shelf.keep(disk.get().bytes());
+        }
+        RingLog.note("pantry " + p.name + " starts, disk " + (disk.isPresent() ? "edition " + disk.get().state.edition : "empty"));
+        chain = new ChainCore(p.ip, new SecureRandom().nextLong(), disk, nearness(), Clocks.nowUs());
+        book = new FleetBook(p.beatMs * 1000L);
+        duties = new DutyDesk(chain, this::askHere);
+    }
+
+    private boolean founder() {
+        return seedIps().contains(props.ip);
+    }
+
+    private List<String> seedIps() {
+        return props.seeds.stream().map(s -> s.substring(0, s.lastIndexOf(':'))).distinct().toList();
+    }
+
+    /** Members of our own hall come first down the chain, so that it crosses between regions as seldom as it can. */
+    private Comparator<String> nearness() {
+        var net = props.ip.substring(0, props.ip.lastIndexOf('.'));
+        return Comparator.<String, Boolean>comparing(m -> !m.startsWith(net + ".")).thenComparing(m -> m);
+    }
+
+    public void start() throws IOException {
+        Links.listen(loop, new InetSocketAddress(InetAddress.getByName(props.ip), props.portLow), this);
+        var desk = new ControlDesk(loop, props, book, this::handOver, this::flood, () -> chain.staleUs(Clocks.nowUs()) < 1_000_000);
+        var at = new LinkedHashSet<InetSocketAddress>();
+        at.add(Props.address("ControlPlane", props.need("ControlPlane")));
+        if (props.listen.containsKey("Directory")) {
+            at.add(Props.address("Directory", props.need("Directory")));
+        }
+        HttpServer.builder(loop, desk)
+            .withListenAddresses(List.copyOf(at))
+            .withKeepAliveTimeout(Duration.ofSeconds(30))
+            .withMaxBodySize(16 << 20)
+            .build()
+            .listen();
+        chain.ledger().state.roster.forEach(this::dial);
+        seedIps().forEach(this::dial);
+        Clocks.every(loop, TICK_US, this::tick);
+        Clocks.every(loop, FLOOD_US, this::flood);
+        Clocks.every(loop, DIGEST_US, this::mend);
+        RingLog.say("pantry " + props.name + " ready at " + props.need("ControlPlane"));
+    }
+
+    public void stop() {
+        RingLog.note("pantry stops");
+        dials.values().forEach(Links.Dial::stop);
+    }
+
+    private void dial(String ip) {
+        if (ip.equals(props.ip) || dials.containsKey(ip)) {
+            return;
+        }
+        var to = Props.address("sibling", ip + ":" + props.portLow);
+        dials.put(ip, new Links.Dial(loop, to, 200_000, l -> l.send(new Rec.Out(Rows.HELLO).text(props.ip).bytes()), this));
+    }
+
+    // ---- time
+
+    private void tick() {
+        var now = Clocks.nowUs();
+        chain.onKnown(dials.keySet());
+        chain.onTick(now);
+        carryOut();
+        duties.tick(now);
+        carryOut();
+        book.sweep(now);
+        var ch = book.pollChanged();
+        if (!ch.isEmpty()) {
+            var b = book.rows(ch, false, now);
+            homes.values().forEach(l -> l.send(b));
+        }
+        dials.values().forEach(d -> d.check(SILENCE_US));
+    }
+
+    private void flood() {
+        var now = Clocks.nowUs();
+        book.pollFlood(now).ifPresent(b -> dials.values().forEach(d -> d.send(b)));
+        var ch = book.pollChanged();
+        if (!ch.isEmpty()) {
+            var b = book.rows(ch, false, now);
+            homes.values().forEach(l -> l.send(b));
+        }
+    }
+
+    private void mend() {
+        var b = book.digests();
+        var up = dials.values().stream().filter(d -> d.link().isPresent()).toList();
+        if (!up.isEmpty()) {
+            up.get(turn++ % up.size()).send(b);
+        }
+        var beat = new Rec.Out(Rows.HELLO).text(props.ip).bytes();
+        dials.values().forEach(d -> d.send(beat));
+    }
+
+    // ---- the chain's commands
+
+    private void carryOut() {
+        for (var l = chain.drain(); !l.isEmpty(); l = chain.drain()) {
+            l.forEach(this::carryOut);
+        }
+    }
+
+    private void carryOut(ChainCore.Command c) {
+        if (c instanceof ChainCore.Send s) {
+            dial(s.to());
+            Optional.ofNullable(dials.get(s.to())).ifPresent(d -> d.send(s.rec()));
+        } else if (c instanceof ChainCore.Store s) {
+            loop.startExternalTask();
+            shelf.keepLater(() -> s.ledger().bytes(), () -> {
+                loop.execute(() -> {
+                    chain.onStored(Clocks.nowUs(), s.token());
+                    carryOut();
+                });
+                loop.completeExternalTask();
+            });
+        } else if (c instanceof ChainCore.Answer a) {
+            Optional.ofNullable(asked.remove(a.errand())).ifPresent(r -> r.accept(a.status(), a.text()));
+        } else if (c instanceof ChainCore.Committed m) {
+            RingLog.note("committed edition " + m.state().edition + " revision " + m.state().revision + " in view " + chain.view());
+            m.state().roster.forEach(this::dial);
+            var b = setup(m.state());
+            homes.values().forEach(l -> l.send(b));
+        }
+    }
+
+    private static byte[] setup(CoreState s) {
+        var o = new Rec.Out(Rows.SETUP).i64(s.edition).i64(s.revision).text(s.menu).texts(s.evacuated);
+        return o.list(s.duties.entrySet(), (w, e) -> w.text(e.getKey()).i64(e.getValue().grant).text(e.getValue().holder)).bytes();
+    }
+
+    // ---- errands to the chain
+
+    private void askHere(CoreState.Change c, BiConsumer<Integer, String> receipt) {
+        var id = ++errands;
+        asked.put(id, receipt);
+        chain.onAsk(Clocks.nowUs(), id, c);
+        loop.post(this::carryOut);
+    }
+
+    private void handOver(CoreState.Change c, BiConsumer<Integer, String> receipt) {
+        if (chain.heading()) {
+            askHere(c, receipt);
+            return;
+        }
+        var d = Optional.ofNullable(dials.get(chain.head())).filter(x -> x.link().isPresent());
+        if (d.isEmpty() || chain.staleUs(Clocks.nowUs()) > 1_500_000) {
+            receipt.accept(503, "no head is known at " + props.ip);
+            return;
+        }
+        var id = ++errands;
+        asked.put(id, receipt);
+        var o = new Rec.Out(Rows.ASK).i64(id);
+        c.write(o);
+        d.get().send(o.bytes());
+        Clocks.after(loop, ASK_US, () -> Optional.ofNullable(asked.remove(id)).ifPresent(r -> r.accept(503, "no receipt from the head " + chain.head())));
+    }
+
+    private void answerSibling(Links.Link l, long id, int s, String t) {
+        l.send(new Rec.Out(Rows.ANSWER).i64(id).i32(s).text(t).bytes());
+    }
+
+    // ---- records
+
+    @Override
+    public void onRecord(Links.Link l, byte[] rec) {
+        var t = rec[0];
+        if (t <= ChainCore.SNAPSHOT) {
+            chain.onRecord(Clocks.nowUs(), l.peer, rec);
+            carryOut();
+            return;
+        }
+        var in = new Rec.In(rec, true);
+        switch (t) {
+            case Rows.HELLO -> {
+                l.peer = in.text();
+                dial(l.peer);
+            }
+            case Rows.FLOOD -> book.takeFlood(in, Clocks.nowUs());
+            case Rows.DIGEST -> book.mend(in, Clocks.nowUs()).ifPresent(b -> Optional.ofNullable(dials.get(l.peer)).ifPresent(d -> d.send(b)));
+            case Rows.ASK -> {
+                var id = in.i64();
+                askHere(CoreState.Change.read(in), (s, x) -> answerSibling(l, id, s, x));
+            }
+            case Rows.ANSWER -> {
+                var r = Optional.ofNullable(asked.remove(in.i64()));
+                var s = in.i32();
+                var x = in.text();
+                r.ifPresent(f -> f.accept(s, x));
+            }
+            case Rows.RENEW -> renew(l, in);
+            case Rows.RESYNC -> l.send(book.rows(book.replicas(), true, Clocks.nowUs()));
+            case Rows.DUTY_WANT -> duties.want(in.text(), in.text(), in.i64(), l);
+            case Rows.DUTY_GRANT -> passGrant(rec, in);
+            case Rec90.QUERY -> l.send(new Rec.Out(Rec90.TEXT).text(query(in.text())).bytes());
+            default -> RingLog.note("link " + l.peer + ": unknown record " + t);
+        }
+    }
+
+    /** Types of the shell's records. */
+    public static final class Rec90 {
+        public static final int QUERY = 90;
+        public static final int TEXT = 91;
+
+        private Rec90() {}
+    }
+
+    private void renew(Links.Link l, Rec.In in) {
+        var now = Clocks.nowUs();
+        var e = Rows.Edge.read(in, now);
+        e.heardUs = now;
+        var stamp = in.i64();
+        var wants = in.texts();
+        book.take(e, true);
+        if (homes.put(e.ip, l) != l) {
+            l.tag = e.ip;
+            l.send(setup(chain.committed()));
+            l.send(book.rows(book.replicas(), true, now));
+        }
+        l.send(news(now, stamp));
+        wants.forEach(k -> want(k, e.ip, stamp));
+        if (e.leaving) {
+            flood();
+        }
+    }
+
+    private byte[] news(long now, long stamp) {
+        var s = chain.committed();
+        var o = new Rec.Out(Rows.NEWS).i64(stamp).i64(now - startUs).i64(chain.staleUs(now)).i64(s.edition).i32(book.edgeDigest());
+        o.texts(cores());
+        return o.list(book.members(now), (w, e) -> e.write(w, now)).bytes();
+    }
+
+    private Collection<String> cores() {
+        var c = new TreeSet<>(chain.committed().roster);
+        c.addAll(dials.keySet());
+        c.add(props.ip);
+        return c;
+    }
+
+    private void want(String key, String holder, long stamp) {
+        if (chain.heading()) {
+            Optional.ofNullable(homes.get(holder)).ifPresent(l -> duties.want(key, holder, stamp, l));
+            return;
+        }
+        Optional.ofNullable(dials.get(chain.head())).ifPresent(d -> d.send(new Rec.Out(Rows.DUTY_WANT).text(key).text(holder).i64(stamp).bytes()));
+    }
+
+    private void passGrant(byte[] rec, Rec.In in) {
+        Optional.ofNullable(homes.get(in.text())).ifPresent(l -> l.send(rec));
+    }
+
+    @Override
+    public void onClosed(Links.Link l) {
+        if (l.tag instanceof String ip && homes.get(ip) == l) {
+            homes.remove(ip);
+        }
+    }
+
+    // ---- the shell
+
+    private String query(String q) {
+        var now = Clocks.nowUs();
+        var b = new StringBuilder();
+        switch (q) {
+            case "members" -> book.members(now).forEach(e -> b.append(String.format("%s %s %s %s%s revision %d lease-age %d ms\n", e.ip, e.name, e.hall,
+                e.ready ? "ready" : "not-ready", e.leaving ? " leaving" : "", e.revision, (now - e.heardUs) / 1000)));
+            case "chain" -> b.append(String.format("mode %s view %d.%s head %s chain %s stale %d ms\nroster %s\n", chain.mode(), chain.view().n(), chain.view().who(),
+                chain.head(), chain.chain(), chain.staleUs(now) / 1000, chain.committed().roster));
+            case "setup" -> b.append("revision ").append(chain.committed().revision).append(" edition ").append(chain.committed().edition).append('\n').append(chain.committed().menu);
+            case "replicas" -> book.replicas().forEach(r -> b.append(String.format("%s %s %s %s %s seq %d beat-age %d ms warm-left %d ms\n", r.id, r.service, r.address, r.hall,
+                r.gone ? "gone" : r.silent ? "silent" : r.draining ? "draining" : "ready", r.seq, (now - r.heardUs) / 1000, Math.max(0, r.warmAtUs - now) / 1000)));
+            case "evacuations" -> chain.committed().evacuated.forEach(h -> b.append(h).append('\n'));
+            case "homes" -> homes.forEach((ip, l) -> b.append(ip).append(" home ").append(props.ip).append('\n'));
+            case "leases" -> chain.committed().duties.forEach((k, d) -> b.append(String.format("%s grant %d holder %s\n", k, d.grant, d.holder)));
+            case "log" -> b.append(RingLog.tail(200));
+            default -> b.append("? members chain setup replicas evacuations homes leases log\n");
+        }
+        return b.toString();
+    }
+
+    /** The duty leases, kept by the head: a grant is written through the chain, a renewal needs a pulse that came after it. */
+    public static final class DutyDesk {
+        public static final long LEASE_US = 2_500_000;
+        private static final long WAIT_US = 3_200_000;
+
+        private record Want(String key, String holder, long stamp, Links.Link link, long atUs) {}
+
+        private final ChainCore chain;
+        private final ControlDesk.HandOver ask;
+        private final Map<String, Want> wants = new TreeMap<>();
+        private final Map<String, Long> renewed = new HashMap<>();
+        private final Set<String> writing = new HashSet<>();
+
+        private DutyDesk(ChainCore c, ControlDesk.HandOver ask) {
+            chain = c;
+            this.ask = ask;
+        }
+
+        private void want(String key, String holder, long stamp, Links.Link l) {
+            var d = Optional.ofNullable(chain.committed().duties.get(key));
+            var held = wants.get(key);
+            if (held != null && d.isPresent() && held.holder.equals(d.get().holder) && !holder.equals(held.holder)) {
+                return;
+            }
+            wants.put(key, new Want(key, holder, stamp, l, Clocks.nowUs()));
+        }
+
+        private void tick(long now) {
+            if (!chain.heading()) {
+                wants.clear();
+                renewed.clear();
+                return;
+            }
+            for (var w : List.copyOf(wants.values())) {
+                var d = Optional.ofNullable(chain.committed().duties.get(w.key));
+                if (d.isPresent() && d.get().holder.equals(w.holder)) {
+                    if (chain.provenUs() > w.atUs) {
+                        renewed.put(w.key, now);
+                        wants.remove(w.key);
+                        grant(w, d.get().grant);
+                    }
+                } else if (d.isEmpty() || now - Math.max(renewed.getOrDefault(w.key, 0L), chain.headingSinceUs()) > WAIT_US) {
+                    wants.remove(w.key);
+                    write(w);
+                } else if (now - w.atUs > LEASE_US) {
+                    wants.remove(w.key);
+                }
+            }
+        }
+
+        private void write(Want w) {
+            if (writing.add(w.key)) {
+                ask.ask(new CoreState.Change(CoreState.Act.DUTY, 0, w.key, w.holder), (s, t) -> {
+                    writing.remove(w.key);
+                    if (s == 200) {
+                        renewed.put(w.key, Clocks.nowUs());
+                        grant(w, Long.parseLong(t));
+                    }
+                });
+            }
+        }
+
+        private static void grant(Want w, long g) {
+            w.link.send(new Rec.Out(Rows.DUTY_GRANT).text(w.holder).text(w.key).i64(g).i64(w.stamp).i64(LEASE_US).bytes());
+        }
+    }
+}
--- /dev/null
+++ b/pantry/src/main/java/martenloom/pantry/chain/ChainCore.java
@@ -0,0 +1,859 @@
+package martenloom.pantry.chain;
+
+import java.util.*;
+import martenloom.galley.record.*;
+import martenloom.pantry.state.*;
+
+/**
+ * The chain and its view, as one owner of events that answers with commands; it does no input or output and reads no
+ * clock. Every member keeps a ledger on disk: the highest view it has promised to, the view in which it last accepted a
+ * state, and that state. A view is named by a ballot and is agreed when a majority of the roster has promised it; the
+ * one who asked then heads a chain of exactly those who promised, passes the newest state found among them down it, and
+ * the tail's answer makes the view active. Writes go the same way, one at a time: each member syncs, the tail
+ * acknowledges. Since every member of the chain syncs each write and a chain holds a majority, any later view finds it.
+ * A member with a wiped disk promises nothing; it comes back as a learner of a new view, under a number drawn at its
+ * start, so that nothing meant for its former life can reach it. See docs/design.md for the argument.
+ */
+public final class ChainCore {
+    public static final int PREPARE = 1;
+    public static final int PROMISE = 2;
+    public static final int PASS = 3;
+    public static final int PASS_ACK = 4;
+    public static final int NACK = 5;
+    public static final int PULSE = 6;
+    public static final int PULSE_ACK = 7;
+    public static final int NEWS = 8;
+    public static final int HERE = 9;
+    public static final int PULL = 10;
+    public static final int SNAPSHOT = 11;
+
+    private static final long PULSE_US = 200_000;
+    private static final long SILENT_US = 900_000;
+    private static final long CONTENT_US = 600_000;
+    private static final long RANK_US = 250_000;
+    private static final long GATHER_US = 200_000;
+    private static final long BID_US = 1_200_000;
+    private static final long SICK_DISK_US = 800_000;
+    private static final long RESEND_US = 400_000;
+    private static final long SETTLE_US = 1_000_000;
+    private static final int INBOX = 256;
+
+    /** A view's name; the higher number wins, then the address. */
+    public record Ballot(long n, String who) implements Comparable<Ballot> {
+        public static final Ballot ZERO = new Ballot(0, "");
+
+        @Override
+        public int compareTo(Ballot o) {
+            return n != o.n ? Long.compare(n, o.n) : who.compareTo(o.who);
+        }
+
+        void write(Rec.Out o) {
+            o.i64(n).text(who);
+        }
+
+        static Ballot read(Rec.In in) {
+            return new Ballot(in.i64(), in.text());
+        }
+    }
+
+    /** What a member keeps on disk. */
+    public static final class Ledger {
+        public final Ballot promised;
+        public final Ballot accepted;
+        public final CoreState state;
+
+        public Ledger(Ballot p, Ballot a, CoreState s) {
+            promised = p;
+            accepted = a;
+            state = s;
+        }
+
+        public byte[] bytes() {
+            var o = new Rec.Out();
+            promised.write(o);
+            accepted.write(o);
+            return o.blob(state.bytes()).bytes();
+        }
+
+        public static Ledger of(byte[] b) {
+            var in = new Rec.In(b, false);
+            return new Ledger(Ballot.read(in), Ballot.read(in), CoreState.of(in.blob()));
+        }
+    }
+
+    public enum Mode { LEARNING, IDLE, BIDDING, STARTING, HEADING, FOLLOWING }
+
+    public sealed interface Command permits Send, Store, Answer, Committed {}
+
+    public record Send(String to, byte[] rec) implements Command {}
+
+    public record Store(long token, Ledger ledger) implements Command {}
+
+    public record Answer(long errand, int status, String text) implements Command {}
+
+    public record Committed(CoreState state) implements Command {}
+
+    private record Asked(long errand, CoreState.Change change) {}
+
+    private record Voice(Ballot accepted, long edition, Optional<CoreState> state) {}
+
+    private static final class Bid {
+        final Ballot b;
+        final long startUs;
+        long majorityUs;
+        final Map<String, Voice> yes = new TreeMap<>();
+        final Map<String, Long> learners = new TreeMap<>();
+        final Set<String> asked = new TreeSet<>();
+
+        Bid(Ballot b, long now) {
+            this.b = b;
+            startUs = now;
+        }
+    }
+
+    private static final class Seen {
+        long firstUs;
+        long lastUs;
+    }
+
+    private final String me;
+    private final long nonce;
+    private final Comparator<String> near;
+    private final List<Command> out = new ArrayList<>();
+    private final Deque<Runnable> deferred = new ArrayDeque<>();
+    private final Deque<Asked> inbox = new ArrayDeque<>();
+    private final Map<String, Seen> outside = new TreeMap<>();
+    private Mode mode;
+    private Ledger led;
+    private Optional<Ledger> storing = Optional.empty();
+    private Runnable afterStore = () -> {};
+    private long storeToken;
+    private long storeSinceUs;
+    private long now;
+    private Ballot view = Ballot.ZERO;
+    private List<String> chain = List.of();
+    private Map<String, Long> learners = Map.of();
+    private Bid bid = new Bid(Ballot.ZERO, 0);
+    private long topN;
+    private long quietUntil;
+    private long heardUs;
+    private long viewSinceUs;
+    private long pulseN;
+    private long pulseAckN;
+    private long pulseAckUs;
+    private long pulseSentUs;
+    private long provenUs;
+    private final long[] sentAt = new long[64];
+    private long passSentUs;
+    private CoreState committed;
+    private Optional<Asked> inWork = Optional.empty();
+    private Optional<CoreState.Outcome> waitingOutcome = Optional.empty();
+    private long barrier;
+    private String headSeen = "";
+    private List<String> chainSeen = List.of();
+    private long newsSentUs;
+
+    public ChainCore(String me, long nonce, Optional<Ledger> disk, Comparator<String> near, long now) {
+        this.me = me;
+        this.nonce = nonce;
+        this.near = near;
+        this.now = now;
+        mode = disk.isPresent() ? Mode.IDLE : Mode.LEARNING;
+        led = disk.orElse(new Ledger(Ballot.ZERO, Ballot.ZERO, CoreState.founded(List.of())));
+        committed = CoreState.founded(led.state.roster);
+        topN = led.promised.n;
+        heardUs = now;
+        quietUntil = now + 400_000;
+    }
+
+    // ---- what others may look at
+
+    public Mode mode() {
+        return mode;
+    }
+
+    public CoreState committed() {
+        return committed;
+    }
+
+    public Ledger ledger() {
+        return led;
+    }
+
+    public List<String> chain() {
+        return mode == Mode.HEADING ? chain : chainSeen;
+    }
+
+    public Ballot view() {
+        return view;
+    }
+
+    public String head() {
+        return mode == Mode.HEADING ? me : headSeen;
+    }
+
+    public boolean heading() {
+        return mode == Mode.HEADING;
+    }
+
+    public long headingSinceUs() {
+        return viewSinceUs;
+    }
+
+    /** Time since this member last knew that a majority held together. */
+    public long staleUs(long t) {
+        return t - (mode == Mode.HEADING ? pulseAckUs : heardUs);
+    }
+
+    /** When the newest pulse that came back was sent: until then at least, no other view had been agreed. */
+    public long provenUs() {
+        return provenUs;
+    }
+
+    public List<Command> drain() {
+        var l = new ArrayList<>(out);
+        out.clear();
+        return l;
+    }
+
+    // ---- one function for every change of state
+
+    private void become(Mode m) {
+        if (mode == Mode.HEADING && m != Mode.HEADING) {
+            refuseAll();
+        }
+        if (m == Mode.HEADING) {
+            viewSinceUs = now;
+            pulseAckUs = now;
+            headSeen = me;
+        }
+        mode = m;
+    }
+
+    private void refuseAll() {
+        inWork.ifPresent(a -> out.add(new Answer(a.errand, 503, "the chain is being mended")));
+        inWork = Optional.empty();
+        waitingOutcome = Optional.empty();
+        inbox.forEach(a -> out.add(new Answer(a.errand, 503, "the chain is being mended")));
+        inbox.clear();
+    }
+
+    private void send(String to, Rec.Out o) {
+        out.add(new Send(to, o.bytes()));
+    }
+
+    private void store(Ledger l, Runnable then) {
+        storing = Optional.of(l);
+        afterStore = then;
+        storeSinceUs = now;
+        out.add(new Store(++storeToken, l));
+    }
+
+    /** Runs at once when the disk is free, else when it is. */
+    private void whenFree(Runnable r) {
+        if (storing.isPresent()) {
+            if (deferred.size() < INBOX) {
+                deferred.add(r);
+            }
+        } else {
+            r.run();
+        }
+    }
+
+    public void onStored(long t, long token) {
+        now = Math.max(now, t);
+        if (storing.isEmpty() || token != storeToken) {
+            return;
+        }
+        led = storing.get();
+        storing = Optional.empty();
+        var a = afterStore;
+        afterStore = () -> {};
+        a.run();
+        while (storing.isEmpty() && !deferred.isEmpty()) {
+            deferred.poll().run();
+        }
+        work();
+    }
+
+    private boolean diskSick() {
+        return storing.isPresent() && now - storeSinceUs > SICK_DISK_US;
+    }
+
+    // ---- time
+
+    public void onTick(long t) {
+        now = Math.max(now, t);
+        switch (mode) {
+            case HEADING -> tickHead();
+            case BIDDING -> tickBid();
+            case STARTING -> tickStart();
+            case IDLE, FOLLOWING -> tickWait();
+            case LEARNING -> {}
+        }
+    }
+
+    private void tickWait() {
+        if (storing.isEmpty() && now >= quietUntil && now - heardUs > SILENT_US + rank() * RANK_US && led.state.roster.contains(me)) {
+            startBid();
+        } else if (led.state.edition == 0 && led.promised.n == 0 && now >= quietUntil + rank() * RANK_US && storing.isEmpty() && led.state.roster.contains(me)) {
+            startBid();
+        }
+    }
+
+    private int rank() {
+        var c = chainSeen.isEmpty() ? led.state.roster : chainSeen;
+        var i = c.indexOf(me);
+        return i < 0 ? c.size() : i;
+    }
+
+    private void tickHead() {
+        if (diskSick()) {
+            quietUntil = now + 2 * SETTLE_US;
+            heardUs = now;
+            become(Mode.IDLE);
+            return;
+        }
+        if (now - pulseSentUs >= PULSE_US) {
+            pulse();
+        }
+        if (now - newsSentUs >= PULSE_US) {
+            newsSentUs = now;
+            news();
+        }
+        if (now - pulseAckUs > SILENT_US && now - viewSinceUs > SILENT_US && storing.isEmpty()) {
+            startBid();
+            return;
+        }
+        if (inWork.isPresent() && waitingOutcome.isEmpty() && storing.isEmpty()) {
+            if (now - passSentUs > RESEND_US) {
+                passOn();
+            }
+            if (now - workSinceUs > SILENT_US) {
+                startBid();
+                return;
+            }
+        }
+        admit();
+        work();
+    }
+
+    private long workSinceUs;
+
+    private void admit() {
+        if (inWork.isPresent() || storing.isPresent() || now - viewSinceUs < SETTLE_US) {
+            return;
+        }
+        outside.values().removeIf(s -> now - s.lastUs > 1_000_000);
+        for (var e : outside.entrySet()) {
+            if (now - e.getValue().firstUs < SETTLE_US / 2 || chain.contains(e.getKey())) {
+                continue;
+            }
+            if (!led.state.roster.contains(e.getKey())) {
+                onAsk(now, -1, new CoreState.Change(CoreState.Act.ROSTER, 0, e.getKey(), ""));
+                return;
+            }
+            startBid();
+            return;
+        }
+    }
+
+    // ---- agreeing on a view
+
+    private void startBid() {
+        topN = Math.max(topN, led.promised.n) + 1;
+        var b = new Ballot(topN, me);
+        become(Mode.BIDDING);
+        bid = new Bid(b, now);
+        store(new Ledger(b, led.accepted, led.state), () -> {
+            if (mode != Mode.BIDDING || !bid.b.equals(b)) {
+                return;
+            }
+            bid.yes.put(me, new Voice(led.accepted, led.state.edition, Optional.of(led.state)));
+            bid.asked.add(me);
+            askRoster(led.state.roster);
+            tryForm();
+        });
+    }
+
+    private void askRoster(List<String> roster) {
+        for (var m : roster) {
+            if (bid.asked.add(m)) {
+                var o = new Rec.Out(PREPARE);
+                bid.b.write(o);
+                led.accepted.write(o);
+                send(m, o.i64(led.state.edition));
+            }
+        }
+    }
+
+    private void tickBid() {
+        if (now - bid.startUs > BID_US) {
+            quietUntil = now + 200_000 + rank() * RANK_US;
+            heardUs = now - SILENT_US;
+            become(Mode.IDLE);
+            return;
+        }
+        tryForm();
+    }
+
+    private void onPrepare(String from, Ballot b, Ballot acc, long ed) {
+        topN = Math.max(topN, b.n);
+        if (mode == Mode.LEARNING) {
+            var o = new Rec.Out(PROMISE);
+            b.write(o);
+            send(from, o.u8(2).i64(nonce));
+            return;
+        }
+        if (b.compareTo(led.promised) < 0 || content(from)) {
+            refusePrepare(from, b);
+            return;
+        }
+        if (b.equals(led.promised) && mode == Mode.FOLLOWING) {
+            return;
+        }
+        heardUs = now;
+        become(Mode.IDLE);
+        store(new Ledger(b, led.accepted, led.state), () -> {
+            var o = new Rec.Out(PROMISE);
+            b.write(o);
+            o.u8(1);
+            led.accepted.write(o);
+            o.i64(led.state.edition);
+            var c = led.accepted.compareTo(acc);
+            var newer = c > 0 || c == 0 && led.state.edition > ed;
+            send(from, o.blob(newer ? led.state.bytes() : new byte[0]));
+        });
+    }
+
+    /** A member that hears its head well gives no promise to another: one that cannot hear must not upset the rest. */
+    private boolean content(String from) {
+        return mode == Mode.FOLLOWING && !from.equals(headSeen) && now - heardUs < CONTENT_US
+            || mode == Mode.HEADING && now - pulseAckUs < CONTENT_US;
+    }
+
+    private void refusePrepare(String from, Ballot b) {
+        var o = new Rec.Out(PROMISE);
+        b.write(o);
+        send(from, o.u8(0).i64(led.promised.n));
+    }
+
+    private void onPromise(String from, Rec.In in) {
+        var b = Ballot.read(in);
+        var k = in.u8();
+        if (k == 0) {
+            topN = Math.max(topN, in.i64());
+            if (mode == Mode.BIDDING && b.equals(bid.b)) {
+                quietUntil = now + 150_000 + rank() * RANK_US;
+                become(Mode.IDLE);
+            }
+            return;
+        }
+        if (mode != Mode.BIDDING || !b.equals(bid.b)) {
+            return;
+        }
+        if (k == 2) {
+            bid.learners.put(from, in.i64());
+        } else {
+            var acc = Ballot.read(in);
+            var ed = in.i64();
+            var s = in.blob();
+            bid.yes.put(from, new Voice(acc, ed, s.length == 0 ? Optional.empty() : Optional.of(CoreState.of(s))));
+        }
+        tryForm();
+    }
+
+    private Voice best() {
+        var v = bid.yes.get(me);
+        for (var x : bid.yes.values()) {
+            var c = x.accepted.compareTo(v.accepted);
+            if (x.state.isPresent() && (c > 0 || c == 0 && x.edition > v.edition)) {
+                v = x;
+            }
+        }
+        return v;
+    }
+
+    private void tryForm() {
+        if (!bid.yes.containsKey(me) || storing.isPresent()) {
+            return;
+        }
+        var v = best();
+        var roster = v.state.get().roster;
+        askRoster(roster);
+        var n = roster.stream().filter(bid.yes::containsKey).count();
+        if (n * 2 <= roster.size() || !roster.contains(me)) {
+            return;
+        }
+        if (bid.majorityUs == 0) {
+            bid.majorityUs = now;
+        }
+        var all = roster.stream().allMatch(m -> bid.yes.containsKey(m) || bid.learners.containsKey(m));
+        if (all || now - bid.majorityUs > GATHER_US) {
+            form(v.state.get());
+        }
+    }
+
+    private void form(CoreState s) {
+        var c = new ArrayList<>(s.roster.stream().filter(m -> !m.equals(me) && (bid.yes.containsKey(m) || bid.learners.containsKey(m))).toList());
+        c.sort(near);
+        c.add(0, me);
+        view = bid.b;
+        chain = List.copyOf(c);
+        learners = Map.copyOf(bid.learners);
+        chainSeen = chain;
+        outside.clear();
+        become(Mode.STARTING);
+        viewSinceUs = now;
+        var b = view;
+        store(new Ledger(b, b, s), () -> {
+            if (mode == Mode.STARTING && view.equals(b)) {
+                passOn();
+            }
+        });
+    }
+
+    private void tickStart() {
+        if (storing.isPresent()) {
+            if (diskSick()) {
+                quietUntil = now + 2 * SETTLE_US;
+                heardUs = now;
+                become(Mode.IDLE);
+            }
+            return;
+        }
+        if (now - viewSinceUs > SILENT_US) {
+            startBid();
+        } else if (now - passSentUs > RESEND_US) {
+            passOn();
+        }
+    }
+
+    // ---- the chain
+
+    private void passOn() {
+        passSentUs = now;
+        if (chain.size() == 1) {
+            onPassAck(view, led.state.edition);
+            return;
+        }
+        send(chain.get(1), pass(view, chain, learners, led.state));
+    }
+
+    private static Rec.Out pass(Ballot b, List<String> chain, Map<String, Long> learners, CoreState s) {
+        var o = new Rec.Out(PASS);
+        b.write(o);
+        o.texts(chain).list(learners.entrySet(), (w, e) -> w.text(e.getKey()).i64(e.getValue()));
+        return o.blob(s.bytes());
+    }
+
+    private void onPass(String from, Ballot b, List<String> ch, Map<String, Long> ls, byte[] sb) {
+        var at = ch.indexOf(me);
+        var lesson = ls.containsKey(me);
+        if (at < 1 || mode == Mode.LEARNING && (!lesson || ls.get(me) != nonce)) {
+            return;
+        }
+        if (mode != Mode.LEARNING && (b.compareTo(led.promised) < 0)) {
+            var o = new Rec.Out(NACK);
+            b.write(o);
+            send(ch.get(0), o.i64(led.promised.n));
+            return;
+        }
+        if (mode != Mode.LEARNING && lesson && !led.accepted.equals(b) && ls.get(me) != nonce) {
+            return;
+        }
+        var s = CoreState.of(sb);
+        heardUs = now;
+        if (led.accepted.equals(b) && led.state.edition >= s.edition && mode == Mode.FOLLOWING) {
+            follow(b, ch, ls, s);
+            return;
+        }
+        if (led.accepted.equals(b) && led.state.edition > s.edition) {
+            return;
+        }
+        become(Mode.FOLLOWING);
+        view = b;
+        chainSeen = ch;
+        headSeen = ch.get(0);
+        store(new Ledger(b, b, s), () -> follow(b, ch, ls, s));
+    }
+
+    private void follow(Ballot b, List<String> ch, Map<String, Long> ls, CoreState s) {
+        if (!led.accepted.equals(b) || led.state.edition != s.edition) {
+            return;
+        }
+        var at = ch.indexOf(me);
+        if (at == ch.size() - 1) {
+            commit(b, s.edition);
+            ack(ch.get(at - 1), b, s.edition);
+        } else {
+            send(ch.get(at + 1), pass(b, ch, ls, s));
+        }
+    }
+
+    private void ack(String to, Ballot b, long ed) {
+        var o = new Rec.Out(PASS_ACK);
+        b.write(o);
+        send(to, o.i64(ed));
+    }
+
+    private void onPassAck(Ballot b, long ed) {
+        if (!b.equals(led.accepted) || !b.equals(view)) {
+            return;
+        }
+        if (mode == Mode.FOLLOWING) {
+            commit(b, ed);
+            var at = chainSeen.indexOf(me);
+            if (at > 0) {
+                ack(chainSeen.get(at - 1), b, ed);
+            }
+            return;
+        }
+        if (mode == Mode.STARTING && ed == led.state.edition) {
+            commit(b, ed);
+            become(Mode.HEADING);
+            pulse();
+            work();
+        } else if (mode == Mode.HEADING) {
+            commit(b, ed);
+            if (inWork.isPresent() && waitingOutcome.isEmpty() && ed == led.state.edition && storing.isEmpty()) {
+                var a = inWork.get();
+                inWork = Optional.empty();
+                out.add(new Answer(a.errand, 200, workText));
+                work();
+            }
+        }
+    }
+
+    private void commit(Ballot b, long ed) {
+        if (led.accepted.equals(b) && led.state.edition == ed && (ed > committed.edition || committed.edition == 0)) {
+            var was = committed;
+            committed = led.state;
+            if (was.edition != ed || !was.roster.equals(committed.roster)) {
+                out.add(new Committed(committed));
+            }
+        }
+    }
+
+    private void onNack(Ballot b, long n) {
+        topN = Math.max(topN, n);
+        if (b.equals(view) && (mode == Mode.HEADING || mode == Mode.STARTING)) {
+            quietUntil = now + 150_000;
+            become(Mode.IDLE);
+        }
+    }
+
+    // ---- pulses
+
+    private void pulse() {
+        pulseSentUs = now;
+        pulseN++;
+        sentAt[(int) (pulseN % sentAt.length)] = now;
+        if (chain.size() == 1) {
+            pulseAck(pulseN);
+            return;
+        }
+        send(chain.get(1), pulse(view, pulseN, chain, committed.edition));
+    }
+
+    private static Rec.Out pulse(Ballot b, long n, List<String> ch, long ed) {
+        var o = new Rec.Out(PULSE);
+        b.write(o);
+        return o.i64(n).texts(ch).i64(ed);
+    }
+
+    private void onPulse(Ballot b, long n, List<String> ch, long ed) {
+        var at = ch.indexOf(me);
+        if (at < 1 || mode != Mode.FOLLOWING && mode != Mode.IDLE || !b.equals(led.promised) || !b.equals(led.accepted)) {
+            return;
+        }
+        if (mode == Mode.IDLE) {
+            become(Mode.FOLLOWING);
+        }
+        heardUs = now;
+        view = b;
+        chainSeen = ch;
+        headSeen = ch.get(0);
+        commit(b, ed);
+        if (at == ch.size() - 1) {
+            pulseAckTo(ch.get(at - 1), b, n);
+        } else {
+            send(ch.get(at + 1), pulse(b, n, ch, ed));
+        }
+    }
+
+    private void pulseAckTo(String to, Ballot b, long n) {
+        var o = new Rec.Out(PULSE_ACK);
+        b.write(o);
+        send(to, o.i64(n));
+    }
+
+    private void onPulseAck(Ballot b, long n) {
+        if (!b.equals(view)) {
+            return;
+        }
+        if (mode == Mode.FOLLOWING) {
+            var at = chainSeen.indexOf(me);
+            if (at > 0) {
+                pulseAckTo(chainSeen.get(at - 1), b, n);
+            }
+        } else if (mode == Mode.HEADING) {
+            pulseAck(n);
+        }
+    }
+
+    private void pulseAck(long n) {
+        pulseAckUs = now;
+        pulseAckN = Math.max(pulseAckN, n);
+        if (pulseN - n < sentAt.length) {
+            provenUs = Math.max(provenUs, sentAt[(int) (n % sentAt.length)]);
+        }
+        if (inWork.isPresent() && waitingOutcome.isPresent() && pulseAckN >= barrier) {
+            var o = waitingOutcome.get();
+            var a = inWork.get();
+            inWork = Optional.empty();
+            waitingOutcome = Optional.empty();
+            out.add(new Answer(a.errand, o.status, o.text));
+            work();
+        }
+    }
+
+    // ---- news to those outside the chain
+
+    /** The owner names the cores it has links to; the head keeps those outside the chain told. */
+    public void onKnown(Collection<String> cores) {
+        known = List.copyOf(cores);
+    }
+
+    private List<String> known = List.of();
+
+    private void news() {
+        var to = new TreeSet<>(known);
+        to.addAll(led.state.roster);
+        to.removeAll(chain);
+        for (var m : to) {
+            var o = new Rec.Out(NEWS);
+            view.write(o);
+            send(m, o.texts(chain).i64(committed.edition));
+        }
+    }
+
+    private void onNews(String from, Ballot b, List<String> ch, long ed) {
+        if (b.compareTo(led.promised) < 0 && mode != Mode.LEARNING || mode == Mode.HEADING || mode == Mode.STARTING) {
+            send(from, new Rec.Out(HERE).i64(led.promised.n));
+            return;
+        }
+        headSeen = ch.get(0);
+        chainSeen = ch;
+        topN = Math.max(topN, b.n);
+        heardUs = now;
+        if (ed > committed.edition) {
+            send(from, new Rec.Out(PULL).i64(committed.edition));
+        }
+        send(from, new Rec.Out(HERE).i64(0));
+    }
+
+    private void onHere(String from, long n) {
+        topN = Math.max(topN, n);
+        if (mode == Mode.HEADING && !chain.contains(from)) {
+            var s = outside.computeIfAbsent(from, k -> new Seen());
+            if (now - s.lastUs > 1_000_000) {
+                s.firstUs = now;
+            }
+            s.lastUs = now;
+        }
+    }
+
+    private void onPull(String from, long ed) {
+        if (committed.edition > ed) {
+            send(from, new Rec.Out(SNAPSHOT).blob(committed.bytes()));
+        }
+    }
+
+    private void onSnapshot(byte[] b) {
+        var s = CoreState.of(b);
+        if (s.edition > committed.edition) {
+            committed = s;
+            out.add(new Committed(s));
+        }
+    }
+
+    // ---- changes asked for
+
+    public void onAsk(long t, long errand, CoreState.Change c) {
+        now = Math.max(now, t);
+        if (mode != Mode.HEADING || inbox.size() >= INBOX) {
+            out.add(new Answer(errand, 503, "not the head of an active chain"));
+            return;
+        }
+        inbox.add(new Asked(errand, c));
+        work();
+    }
+
+    private String workText = "";
+
+    private void work() {
+        if (mode != Mode.HEADING || inWork.isPresent() || storing.isPresent() || inbox.isEmpty()) {
+            return;
+        }
+        var a = inbox.poll();
+        var o = led.state.decide(a.change);
+        if (o.status == 400) {
+            out.add(new Answer(a.errand, 400, o.text));
+            work();
+            return;
+        }
+        inWork = Optional.of(a);
+        workSinceUs = now;
+        if (o.next.isEmpty()) {
+            waitingOutcome = Optional.of(o);
+            barrier = pulseN + 1;
+            pulse();
+            return;
+        }
+        workText = o.text;
+        var b = view;
+        store(new Ledger(b, b, o.next.get()), () -> {
+            if (mode == Mode.HEADING && view.equals(b)) {
+                passOn();
+            }
+        });
+    }
+
+    // ---- records from siblings
+
+    public void onRecord(long t, String from, byte[] rec) {
+        now = Math.max(now, t);
+        var in = new Rec.In(rec, true);
+        switch (in.type) {
+            case PREPARE -> {
+                var b = Ballot.read(in);
+                var a = Ballot.read(in);
+                var e = in.i64();
+                whenFree(() -> onPrepare(from, b, a, e));
+            }
+            case PROMISE -> onPromise(from, in);
+            case PASS -> {
+                var b = Ballot.read(in);
+                var ch = in.texts();
+                var ls = new TreeMap<String, Long>();
+                in.list(x -> ls.put(x.text(), x.i64()));
+                var s = in.blob();
+                whenFree(() -> onPass(from, b, ch, ls, s));
+            }
+            case PASS_ACK -> {
+                var b = Ballot.read(in);
+                var e = in.i64();
+                onPassAck(b, e);
+            }
+            case NACK -> onNack(Ballot.read(in), in.i64());
+            case PULSE -> onPulse(Ballot.read(in), in.i64(), in.texts(), in.i64());
+            case PULSE_ACK -> onPulseAck(Ballot.read(in), in.i64());
+            case NEWS -> onNews(from, Ballot.read(in), in.texts(), in.i64());
+            case HERE -> onHere(from, in.i64());
+            case PULL -> onPull(from, in.i64());
+            case SNAPSHOT -> onSnapshot(in.blob());
+            default -> {}
+        }
+    }
+}
--- /dev/null
+++ b/pantry/src/main/java/martenloom/pantry/desk/ControlDesk.java
@@ -0,0 +1,185 @@
+package martenloom.pantry.desk;
+
+import io.activej.eventloop.*;
+import io.activej.http.*;
+import io.activej.promise.*;
+import java.net.*;
+import java.nio.charset.*;
+import java.util.*;
+import java.util.function.*;
+import martenloom.galley.clock.*;
+import martenloom.galley.fault.*;
+import martenloom.galley.fleet.*;
+import martenloom.galley.log.*;
+import martenloom.galley.props.*;
+import martenloom.menu.setup.*;
+import martenloom.pantry.registry.*;
+import martenloom.pantry.state.*;
+
+/**
+ * The calls of replicas, the operator and requesters that look up, in one dispatch on method and path segments. A
+ * change is handed to the chain; a beat is answered once the book has it; a lookup lists ready edges, near ones first.
+ */
+public final class ControlDesk implements AsyncServlet {
+    private static final HttpHeader BASE = HttpHeaders.of("X-Base-Revision");
+    private static final HttpHeader RETRY = HttpHeaders.of("Retry-After");
+    private static final int MOST_ADDRESSES = 64;
+    private static final int MOST_BODY = 8 << 20;
+
+    /** Hands a change to the head of the chain, wherever it is. */
+    @FunctionalInterface
+    public interface HandOver {
+        void ask(CoreState.Change c, BiConsumer<Integer, String> receipt);
+    }
+
+    private final Eventloop loop;
+    private final Props props;
+    private final FleetBook book;
+    private final HandOver chain;
+    private final Runnable flood;
+    private final BooleanSupplier fresh;
+
+    public ControlDesk(Eventloop loop, Props props, FleetBook book, HandOver chain, Runnable flood, BooleanSupplier fresh) {
+        this.loop = loop;
+        this.props = props;
+        this.book = book;
+        this.chain = chain;
+        this.flood = flood;
+        this.fresh = fresh;
+    }
+
+    @Override
+    public Promise<HttpResponse> serve(HttpRequest q) {
+        var seg = q.getPath().split("/");
+        var key = q.getMethod() + " " + (seg.length > 1 ? seg[1] : "") + (seg.length > 3 ? "/*/" + seg[3] : seg.length > 2 ? "/" + seg[2] : "");
+        return switch (key) {
+            case "GET lookup" -> Promise.of(lookup(q));
+            case "POST configuration/replace" -> change(q, CoreState.Act.REPLACE);
+            case "POST configuration/update" -> change(q, CoreState.Act.UPDATE);
+            case "GET configuration/describe" -> ask(new CoreState.Change(CoreState.Act.READ, 0, "", ""), 0);
+            case "POST evacuations/*/start" -> evacuation(seg[2], CoreState.Act.EVAC_START);
+            case "POST evacuations/*/finish" -> evacuation(seg[2], CoreState.Act.EVAC_FINISH);
+            case "POST instances/*/heartbeat" -> body(q).then(b -> Promise.of(beat(seg[2], b)));
+            case "POST instances/*/deregister" -> Promise.of(deregister(seg[2]));
+            default -> Promise.of(plain(404, "no such call: " + q.getMethod() + " " + q.getPath()));
+        };
+    }
+
+    private static HttpResponse plain(int status, String text) {
+        var b = HttpResponse.ofCode(status).withHeader(HttpHeaders.CONTENT_TYPE, status == 200 ? "application/json" : "text/plain").withBody(text, StandardCharsets.UTF_8);
+        if (status == 503) {
+            b.withHeader(RETRY, "0.2");
+        }
+        return b.build();
+    }
+
+    private static Promise<String> body(HttpRequest q) {
+        return q.loadBody(MOST_BODY).map(b -> b.getString(StandardCharsets.UTF_8));
+    }
+
+    // ---- the operator
+
+    private Promise<HttpResponse> change(HttpRequest q, CoreState.Act act) {
+        var h = Optional.ofNullable(q.getHeader(BASE)).orElse("");
+        long base;
+        try {
+            base = Long.parseLong(h.trim());
+        } catch (NumberFormatException e) {
+            return Promise.of(plain(400, "X-Base-Revision: '" + h + "' is not a number"));
+        }
+        return body(q).then(b -> ask(new CoreState.Change(act, base, "", b), 0));
+    }
+
+    private Promise<HttpResponse> evacuation(String hall, CoreState.Act act) {
+        var h = URLDecoder.decode(hall, StandardCharsets.UTF_8);
+        if (!props.halls.containsKey(h)) {
+            return Promise.of(plain(404, "zone '" + h + "' is not known"));
+        }
+        return ask(new CoreState.Change(act, 0, h, ""), 0);
+    }
+
+    private Promise<HttpResponse> ask(CoreState.Change c, int tries) {
+        var p = new SettablePromise<HttpResponse>();
+        ask(c, Clocks.nowUs(), p);
+        return p;
+    }
+
+    private void ask(CoreState.Change c, long since, SettablePromise<HttpResponse> p) {
+        chain.ask(c, (s, t) -> {
+            if (s == 503 && Clocks.nowUs() - since < 850_000) {
+                Clocks.after(loop, 60_000, () -> ask(c, since, p));
+                return;
+            }
+            RingLog.note("errand " + c.act + " base " + c.base + " " + c.subject + ": " + s + " " + (s == 200 ? "" : t));
+            p.set(plain(s, s == 200 && c.act != CoreState.Act.READ ? "{}" : t));
+        });
+    }
+
+    // ---- replicas
+
+    private HttpResponse beat(String id, String text) {
+        try {
+            var now = Clocks.nowUs();
+            var c = Setups.body(text);
+            var r = new Rows.Replica();
+            r.id = URLDecoder.decode(id, StandardCharsets.UTF_8);
+            r.service = c.getString("Backend");
+            r.address = c.getString("Address");
+            Props.address("Address", r.address);
+            r.hall = c.getString("Zone");
+            r.capacity = c.hasPath("Capacity") ? Math.max(1, (int) c.getDouble("Capacity")) : 1;
+            r.draining = c.hasPath("State") && c.getString("State").equals("draining");
+            r.seq = c.getLong("Sequence");
+            r.warmAtUs = now + (c.hasPath("WarmupLeftMs") ? (long) (c.getDouble("WarmupLeftMs") * 1000) : 0);
+            r.leavesAtUs = c.hasPath("RemainingMs") ? now + (long) (c.getDouble("RemainingMs") * 1000) : Long.MAX_VALUE;
+            r.heardUs = now;
+            book.take(r, true);
+            if (r.draining) {
+                RingLog.note("replica " + r.id + " drains");
+                flood.run();
+            }
+            return plain(200, "{}");
+        } catch (Fault | com.typesafe.config.ConfigException e) {
+            return plain(400, "beat: " + String.valueOf(e.getMessage()).replace('\n', ' '));
+        }
+    }
+
+    private HttpResponse deregister(String id) {
+        book.replica(URLDecoder.decode(id, StandardCharsets.UTF_8)).ifPresent(r -> {
+            var n = new Rows.Replica();
+            n.id = r.id;
+            n.service = r.service;
+            n.address = r.address;
+            n.hall = r.hall;
+            n.seq = r.seq + 1;
+            n.gone = true;
+            n.draining = true;
+            n.heardUs = Clocks.nowUs();
+            book.take(n, true);
+            flood.run();
+        });
+        return plain(200, "{}");
+    }
+
+    // ---- requesters
+
+    private HttpResponse lookup(HttpRequest q) {
+        var hall = Optional.ofNullable(q.getQueryParameter("Zone")).orElse("");
+        var region = Optional.ofNullable(q.getQueryParameter("Region")).orElse("");
+        var open = book.members(Clocks.nowUs()).stream().filter(e -> e.ready && !e.leaving).toList();
+        var near = open.stream().filter(e -> e.hall.equals(hall)).toList();
+        if (near.isEmpty()) {
+            near = open.stream().filter(e -> e.region.equals(region)).toList();
+        }
+        if (near.isEmpty()) {
+            near = open;
+        }
+        if (near.isEmpty()) {
+            return plain(503, "no edge is ready");
+        }
+        var b = new StringBuilder("{\"Addresses\":[");
+        near.stream().limit(MOST_ADDRESSES).forEach(e -> b.append(b.charAt(b.length() - 1) == '[' ? "" : ",").append('"').append(e.front).append('"'));
+        var ttl = Math.min(props.bounds.ttlMaxS, 1.5);
+        return plain(200, b.append("],\"TtlS\":").append(ttl).append('}').toString());
+    }
+}
--- /dev/null
+++ b/pantry/src/main/java/martenloom/pantry/disk/Shelf.java
@@ -0,0 +1,202 @@
+package martenloom.pantry.disk;
+
+import java.io.*;
+import java.nio.*;
+import java.nio.channels.*;
+import java.nio.file.*;
+import java.util.*;
+import java.util.concurrent.*;
+import java.util.function.*;
+import java.util.zip.*;
+import martenloom.galley.fault.*;
+import martenloom.galley.log.*;
+
+/**
+ * The disk of a core member: one file for each version, written aside, synced, renamed, and the folder synced, before
+ * the version counts as kept. Every file opens with its length and check sum; at a start the newest whole one is taken.
+ * Work runs on a thread of its own, so a stalled disk never stops the reactor.
+ */
+public final class Shelf {
+    private static final String PREFIX = "ledger-";
+
+    /** What the shelf needs of a folder; a test puts a stand-in with torn and lost writes in its place. */
+    public interface Folder {
+        List<String> names();
+
+        byte[] read(String name);
+
+        void writeSynced(String name, byte[] b);
+
+        void rename(String from, String to);
+
+        void syncFolder();
+
+        void remove(String name);
+    }
+
+    private final Folder f;
+    private final ExecutorService hand = Executors.newSingleThreadExecutor(r -> {
+        var t = new Thread(r, "shelf");
+        t.setDaemon(true);
+        return t;
+    });
+    private long version;
+
+    public Shelf(Folder f) {
+        this.f = f;
+    }
+
+    public Optional<byte[]> load() {
+        var best = Optional.<byte[]>empty();
+        for (var n : f.names()) {
+            var v = versionOf(n);
+            if (v <= version) {
+                continue;
+            }
+            var b = whole(f.read(n));
+            if (b.isPresent()) {
+                best = b;
+                version = v;
+            } else {
+                RingLog.note("shelf: " + n + " is not whole, passed over");
+            }
+        }
+        return best;
+    }
+
+    private static long versionOf(String n) {
+        try {
+            return n.startsWith(PREFIX) && !n.endsWith(".aside") ? Long.parseLong(n.substring(PREFIX.length()), 16) : -1;
+        } catch (NumberFormatException e) {
+            return -1;
+        }
+    }
+
+    private static Optional<byte[]> whole(byte[] b) {
+        if (b.length < 12) {
+            return Optional.empty();
+        }
+        var bb = ByteBuffer.wrap(b);
+        var n = bb.getInt();
+        var sum = bb.getLong();
+        if (n != b.length - 12) {
+            return Optional.empty();
+        }
+        var c = new CRC32();
+        c.update(b, 12, n);
+        return c.getValue() == sum ? Optional.of(Arrays.copyOfRange(b, 12, b.length)) : Optional.empty();
+    }
+
+    /** Keeps a version, on the caller's thread. */
+    public synchronized void keep(byte[] b) {
+        var v = version + 1;
+        var name = PREFIX + String.format("%016x", v);
+        var c = new CRC32();
+        c.update(b);
+        var bb = ByteBuffer.allocate(b.length + 12).putInt(b.length).putLong(c.getValue()).put(b);
+        f.writeSynced(name + ".aside", bb.array());
+        f.rename(name + ".aside", name);
+        f.syncFolder();
+        version = v;
+        for (var n : f.names()) {
+            if (versionOf(n) > 0 && versionOf(n) < v) {
+                f.remove(n);
+            }
+        }
+    }
+
+    /** Keeps a version on the shelf's thread, trying again for as long as the disk refuses, then tells. */
+    public void keepLater(Supplier<byte[]> b, Runnable done) {
+        hand.execute(() -> {
+            while (true) {
+                try {
+                    keep(b.get());
+                    done.run();
+                    return;
+                } catch (RuntimeException e) {
+                    RingLog.wrong("shelf: " + e.getMessage());
+                    pause();
+                }
+            }
+        });
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(100);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** A real folder. */
+    public static final class RealFolder implements Folder {
+        private final Path dir;
+
+        public RealFolder(String path) {
+            dir = Path.of(path);
+            run("open " + path, () -> Files.createDirectories(dir));
+        }
+
+        @FunctionalInterface
+        private interface Act<T> {
+            T run() throws IOException;
+        }
+
+        private static <T> T run(String step, Act<T> a) {
+            try {
+                return a.run();
+            } catch (IOException e) {
+                throw Fault.here(Fault.Code.DISK, step, String.valueOf(e.getMessage()));
+            }
+        }
+
+        @Override
+        public List<String> names() {
+            return run("list " + dir, () -> {
+                try (var s = Files.list(dir)) {
+                    return s.map(p -> p.getFileName().toString()).sorted().toList();
+                }
+            });
+        }
+
+        @Override
+        public byte[] read(String n) {
+            return run("read " + n, () -> Files.readAllBytes(dir.resolve(n)));
+        }
+
+        @Override
+        public void writeSynced(String n, byte[] b) {
+            run("write " + n, () -> {
+                try (var c = FileChannel.open(dir.resolve(n), StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)) {
+                    var bb = ByteBuffer.wrap(b);
+                    while (bb.hasRemaining()) {
+                        c.write(bb);
+                    }
+                    c.force(true);
+                }
+                return 0;
+            });
+        }
+
+        @Override
+        public void rename(String a, String b) {
+            run("rename " + a, () -> Files.move(dir.resolve(a), dir.resolve(b), StandardCopyOption.ATOMIC_MOVE));
+        }
+
+        @Override
+        public void syncFolder() {
+            run("sync " + dir, () -> {
+                try (var c = FileChannel.open(dir, StandardOpenOption.READ)) {
+                    c.force(true);
+                }
+                return 0;
+            });
+        }
+
+        @Override
+        public void remove(String n) {
+            run("remove " + n, () -> Files.deleteIfExists(dir.resolve(n)));
+        }
+    }
+}
--- /dev/null
+++ b/pantry/src/main/java/martenloom/pantry/registry/FleetBook.java
@@ -0,0 +1,200 @@
+package martenloom.pantry.registry;
+
+import java.util.*;
+import java.util.stream.*;
+import martenloom.galley.clock.*;
+import martenloom.galley.fleet.*;
+import martenloom.galley.record.*;
+
+/**
+ * The registry of replicas and edges at one core daemon. What comes in directly is flooded to the other cores; copies
+ * are compared by digests over ranges and mended from the newer. Rows are kept in shards, each under its own lock: the
+ * HTTP side reads while the sibling side writes. An edge is a member while its lease is renewed; a replica that has
+ * been silent for several beats is marked so, and a life that ended leaves a tombstone for a while.
+ */
+public final class FleetBook {
+    private static final long EDGE_LEASE_US = 2_500_000;
+    private static final long FORGET_US = 60_000_000;
+
+    private static final class Shard {
+        final Map<String, Rows.Replica> replicas = new HashMap<>();
+        final Map<String, Rows.Edge> edges = new HashMap<>();
+    }
+
+    private final Shard[] shards = new Shard[Rows.RANGES];
+    private final long silentUs;
+    private final Map<String, Rows.Replica> freshReplicas = new LinkedHashMap<>();
+    private final Map<String, Rows.Edge> freshEdges = new LinkedHashMap<>();
+    private final Map<String, Rows.Replica> changed = new LinkedHashMap<>();
+
+    public FleetBook(long beatUs) {
+        silentUs = beatUs * 3 + 300_000;
+        Arrays.setAll(shards, i -> new Shard());
+    }
+
+    private Shard of(String k) {
+        return shards[Rows.range(k)];
+    }
+
+    /** Takes a row; true when it was newer. Direct rows are flooded on. */
+    public boolean take(Rows.Replica r, boolean direct) {
+        var s = of(r.id);
+        synchronized (s) {
+            var old = Optional.ofNullable(s.replicas.get(r.id));
+            if (old.isPresent() && !r.newer(old.get())) {
+                return false;
+            }
+            s.replicas.put(r.id, r);
+            var same = old.isPresent() && old.get().digest() == r.digest() && Math.abs(old.get().warmAtUs - r.warmAtUs) < 300_000
+                || old.isPresent() && old.get().digest() == r.digest() && r.warmAtUs <= Clocks.nowUs() && old.get().warmAtUs <= Clocks.nowUs();
+            mark(r, direct, same);
+            return true;
+        }
+    }
+
+    private synchronized void mark(Rows.Replica r, boolean direct, boolean same) {
+        if (direct) {
+            freshReplicas.put(r.id, r);
+        }
+        if (!same) {
+            changed.put(r.id, r);
+        }
+    }
+
+    public boolean take(Rows.Edge e, boolean direct) {
+        var s = of(e.ip);
+        synchronized (s) {
+            var old = Optional.ofNullable(s.edges.get(e.ip));
+            if (old.isPresent() && !e.newer(old.get())) {
+                return false;
+            }
+            s.edges.put(e.ip, e);
+        }
+        if (direct) {
+            synchronized (this) {
+                freshEdges.put(e.ip, e);
+            }
+        }
+        return true;
+    }
+
+    public Optional<Rows.Replica> replica(String id) {
+        var s = of(id);
+        synchronized (s) {
+            return Optional.ofNullable(s.replicas.get(id));
+        }
+    }
+
+    /** Marks the silent and forgets the long gone. */
+    public void sweep(long now) {
+        for (var s : shards) {
+            synchronized (s) {
+                s.replicas.values().removeIf(r -> now - r.heardUs > FORGET_US);
+                s.edges.values().removeIf(e -> now - e.heardUs > FORGET_US);
+                for (var r : s.replicas.values()) {
+                    if (!r.silent && !r.gone && now - r.heardUs > silentUs) {
+                        r.silent = true;
+                        mark(r, false, false);
+                    }
+                }
+            }
+        }
+    }
+
+    public List<Rows.Replica> replicas() {
+        return Stream.of(shards).flatMap(s -> {
+            synchronized (s) {
+                return new ArrayList<>(s.replicas.values()).stream();
+            }
+        }).sorted(Comparator.comparing(r -> r.id)).toList();
+    }
+
+    public List<Rows.Edge> edges() {
+        return Stream.of(shards).flatMap(s -> {
+            synchronized (s) {
+                return new ArrayList<>(s.edges.values()).stream();
+            }
+        }).sorted(Comparator.comparing(e -> e.ip)).toList();
+    }
+
+    /** The members among the edges: those whose lease still runs. */
+    public List<Rows.Edge> members(long now) {
+        return edges().stream().filter(e -> now - e.heardUs < EDGE_LEASE_US).toList();
+    }
+
+    public synchronized List<Rows.Replica> pollChanged() {
+        var l = new ArrayList<>(changed.values());
+        changed.clear();
+        return l;
+    }
+
+    /** The rows that came in directly since the last call, as one record for the other cores; empty when there are none. */
+    public synchronized Optional<byte[]> pollFlood(long now) {
+        if (freshReplicas.isEmpty() && freshEdges.isEmpty()) {
+            return Optional.empty();
+        }
+        var b = flood(freshReplicas.values(), freshEdges.values(), now);
+        freshReplicas.clear();
+        freshEdges.clear();
+        return Optional.of(b);
+    }
+
+    private static byte[] flood(Collection<Rows.Replica> rs, Collection<Rows.Edge> es, long now) {
+        return new Rec.Out(Rows.FLOOD).list(rs, (o, r) -> r.write(o, now)).list(es, (o, e) -> e.write(o, now)).bytes();
+    }
+
+    public void takeFlood(Rec.In in, long now) {
+        in.list(x -> take(Rows.Replica.read(x, now), false));
+        in.list(x -> take(Rows.Edge.read(x, now), false));
+    }
+
+    public byte[] digests() {
+        var o = new Rec.Out(Rows.DIGEST);
+        for (var s : shards) {
+            synchronized (s) {
+                o.i32(digest(s));
+            }
+        }
+        return o.bytes();
+    }
+
+    private static int digest(Shard s) {
+        var d = 0;
+        for (var r : s.replicas.values()) {
+            d += Objects.hash(r.id, r.draining, r.gone);
+        }
+        for (var e : s.edges.values()) {
+            d += e.digest();
+        }
+        return d;
+    }
+
+    /** Our rows of the ranges in which a sibling's digests differ from ours. */
+    public Optional<byte[]> mend(Rec.In in, long now) {
+        var rs = new ArrayList<Rows.Replica>();
+        var es = new ArrayList<Rows.Edge>();
+        for (var s : shards) {
+            var d = in.i32();
+            synchronized (s) {
+                if (d != digest(s)) {
+                    rs.addAll(s.replicas.values());
+                    es.addAll(s.edges.values());
+                }
+            }
+        }
+        return rs.isEmpty() && es.isEmpty() ? Optional.empty() : Optional.of(flood(rs, es, now));
+    }
+
+    public byte[] rows(Collection<Rows.Replica> rs, boolean whole, long now) {
+        return new Rec.Out(Rows.REPLICAS).flag(whole).list(rs, (o, r) -> r.write(o, now)).bytes();
+    }
+
+    /** What an edge's copy is compared by. */
+    public int edgeDigest() {
+        var d = 0;
+        for (var r : replicas()) {
+            d += r.gone ? 0 : r.digest();
+        }
+        return d;
+    }
+}
--- /dev/null
+++ b/pantry/src/main/java/martenloom/pantry/state/CoreState.java
@@ -0,0 +1,191 @@
+package martenloom.pantry.state;
+
+import java.nio.charset.*;
+import java.security.*;
+import java.util.*;
+import martenloom.galley.fault.*;
+import martenloom.galley.record.*;
+import martenloom.menu.setup.*;
+
+/**
+ * What the core keeps: the setup as sent and in the menu language, the evacuations, the duty grants, and the roster of
+ * core members. A state is immutable and carries its edition; decide() is the only way from one state to the next, and
+ * says by status what the caller is to be told.
+ */
+public final class CoreState {
+    private static final int HISTORY = 64;
+
+    public final long edition;
+    public final List<String> roster;
+    public final long revision;
+    public final String json;
+    public final String menu;
+    public final Map<Long, String> history;
+    public final Set<String> evacuated;
+    public final Map<String, Duty> duties;
+
+    public static final class Duty {
+        public final long grant;
+        public final String holder;
+
+        public Duty(long g, String h) {
+            grant = g;
+            holder = h;
+        }
+    }
+
+    public enum Act { REPLACE, UPDATE, EVAC_START, EVAC_FINISH, DUTY, ROSTER, READ }
+
+    /** A change asked for: the act, the base it builds on, a subject (hall, duty key or member) and a body. */
+    public static final class Change {
+        public final Act act;
+        public final long base;
+        public final String subject;
+        public final String body;
+
+        public Change(Act a, long base, String subject, String body) {
+            act = a;
+            this.base = base;
+            this.subject = subject;
+            this.body = body;
+        }
+
+        public void write(Rec.Out o) {
+            o.u8(act.ordinal()).i64(base).text(subject).text(body);
+        }
+
+        public static Change read(Rec.In in) {
+            return new Change(Act.values()[in.u8()], in.i64(), in.text(), in.text());
+        }
+    }
+
+    /** What a change comes to: a status, a text for the caller, and the next state where there is one. */
+    public static final class Outcome {
+        public final int status;
+        public final String text;
+        public final Optional<CoreState> next;
+
+        public Outcome(int s, String t, Optional<CoreState> n) {
+            status = s;
+            text = t;
+            next = n;
+        }
+    }
+
+    private CoreState(long e, List<String> r, long rev, String j, String m, Map<Long, String> h, Set<String> ev, Map<String, Duty> d) {
+        edition = e;
+        roster = List.copyOf(r);
+        revision = rev;
+        json = j;
+        menu = m;
+        history = h;
+        evacuated = ev;
+        duties = d;
+    }
+
+    public static CoreState founded(List<String> roster) {
+        return new CoreState(0, roster, 0, "", "", Map.of(), Set.of(), Map.of());
+    }
+
+    public byte[] bytes() {
+        var o = new Rec.Out().i64(edition).texts(roster).i64(revision).text(json).text(menu);
+        o.list(history.entrySet(), (w, x) -> w.i64(x.getKey()).text(x.getValue()));
+        o.texts(evacuated);
+        o.list(duties.entrySet(), (w, x) -> w.text(x.getKey()).i64(x.getValue().grant).text(x.getValue().holder));
+        return o.bytes();
+    }
+
+    public static CoreState of(byte[] b) {
+        var in = new Rec.In(b, false);
+        var e = in.i64();
+        var r = in.texts();
+        var rev = in.i64();
+        var j = in.text();
+        var m = in.text();
+        var h = new LinkedHashMap<Long, String>();
+        in.list(x -> h.put(x.i64(), x.text()));
+        var ev = new TreeSet<>(in.texts());
+        var d = new TreeMap<String, Duty>();
+        in.list(x -> d.put(x.text(), new Duty(x.i64(), x.text())));
+        return new CoreState(e, r, rev, j, m, h, ev, d);
+    }
+
+    public Outcome decide(Change c) {
+        return switch (c.act) {
+            case READ -> new Outcome(revision == 0 ? 404 : 200, json, Optional.empty());
+            case REPLACE, UPDATE -> setup(c);
+            case EVAC_START -> evacuate(c.subject, true);
+            case EVAC_FINISH -> evacuate(c.subject, false);
+            case DUTY -> duty(c);
+            case ROSTER -> enrol(c.subject);
+        };
+    }
+
+    private Outcome setup(Change c) {
+        var d = digest(c);
+        try {
+            var rev = Setups.revisionOf(c.body);
+            if (d.equals(history.get(rev))) {
+                return new Outcome(200, "", Optional.empty());
+            }
+            if (c.base != revision) {
+                return new Outcome(412, "revision " + revision + " is in place", Optional.empty());
+            }
+            var s = c.act == Act.REPLACE ? Setups.replace(c.body) : Setups.update(json, c.body);
+            if (rev <= revision) {
+                return new Outcome(400, "Revision: " + rev + " is not above " + revision, Optional.empty());
+            }
+            return new Outcome(200, "", Optional.of(withSetup(s, d)));
+        } catch (Fault f) {
+            return new Outcome(400, f.getMessage(), Optional.empty());
+        }
+    }
+
+    private CoreState withSetup(Setups.Checked s, String d) {
+        var h = new LinkedHashMap<>(history);
+        h.put(s.revision, d);
+        while (h.size() > HISTORY) {
+            h.remove(h.keySet().iterator().next());
+        }
+        return new CoreState(edition + 1, roster, s.revision, s.json, s.menu, h, evacuated, duties);
+    }
+
+    private Outcome evacuate(String hall, boolean on) {
+        if (evacuated.contains(hall) == on) {
+            return new Outcome(200, "", Optional.empty());
+        }
+        var ev = new TreeSet<>(evacuated);
+        if (on) {
+            ev.add(hall);
+        } else {
+            ev.remove(hall);
+        }
+        return new Outcome(200, "", Optional.of(new CoreState(edition + 1, roster, revision, json, menu, history, ev, duties)));
+    }
+
+    private Outcome duty(Change c) {
+        var d = new TreeMap<>(duties);
+        var g = d.getOrDefault(c.subject, new Duty(0, "")).grant + 1;
+        d.put(c.subject, new Duty(g, c.body));
+        return new Outcome(200, String.valueOf(g), Optional.of(new CoreState(edition + 1, roster, revision, json, menu, history, evacuated, d)));
+    }
+
+    private Outcome enrol(String ip) {
+        if (roster.contains(ip)) {
+            return new Outcome(200, "", Optional.empty());
+        }
+        var r = new ArrayList<>(roster);
+        r.add(ip);
+        return new Outcome(200, "", Optional.of(new CoreState(edition + 1, r, revision, json, menu, history, evacuated, duties)));
+    }
+
+    private static String digest(Change c) {
+        try {
+            var md = MessageDigest.getInstance("SHA-256");
+            md.update((c.act + " " + c.base + "\n").getBytes(StandardCharsets.UTF_8));
+            return HexFormat.of().formatHex(md.digest(c.body.getBytes(StandardCharsets.UTF_8)));
+        } catch (NoSuchAlgorithmException e) {
+            throw Fault.here(Fault.Code.SETUP, "digest setup", "SHA-256 is not to be had");
+        }
+    }
+}
