--- /dev/null
+++ b/pantry/src/test/java/martenloom/pantry/chain/ChainStormTest.java
@@ -0,0 +1,221 @@
+package martenloom.pantry.chain;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.util.*;
+import martenloom.pantry.state.*;
+import org.junit.jupiter.params.*;
+import org.junit.jupiter.params.provider.*;
+
+/**
+ * Storms over the chain and its view: a seeded world with delays, drops, cuts, crashes in the middle of a sync, and one
+ * wiped disk at a time. Whatever was acknowledged must be there in the end, a base has one winner, and two views never
+ * both acknowledge.
+ */
+final class ChainStormTest {
+    private static final int N = 5;
+
+    private record Mail(long at, int n, String from, String to, byte[] rec) {}
+
+    private static final class Node {
+        final String ip;
+        Optional<ChainCore.Ledger> disk = Optional.empty();
+        Optional<ChainCore> core = Optional.empty();
+        Optional<ChainCore.Store> syncing = Optional.empty();
+        long syncedAt;
+        long upAt;
+
+        Node(String ip) {
+            this.ip = ip;
+        }
+    }
+
+    private static final class World {
+        final Random rnd;
+        final Map<String, Node> nodes = new TreeMap<>();
+        final PriorityQueue<Mail> mails = new PriorityQueue<>(Comparator.<Mail>comparingLong(m -> m.at).thenComparingInt(m -> m.n));
+        final Set<String> cut = new HashSet<>();
+        final Map<Long, CoreState.Change> asked = new HashMap<>();
+        final Map<Long, String> acked = new TreeMap<>();
+        final Map<Long, Long> winners = new HashMap<>();
+        long now = 1_000_000;
+        int mailN;
+        long errand;
+        double drop;
+        int bodies;
+        String wiped = "";
+
+        World(long seed) {
+            rnd = new Random(seed);
+            for (var i = 0; i < N; i++) {
+                nodes.put("10.0.0." + i, new Node("10.0.0." + i));
+            }
+            var seeds = List.copyOf(nodes.keySet()).subList(0, 3);
+            seeds.forEach(s -> nodes.get(s).disk = Optional.of(new ChainCore.Ledger(ChainCore.Ballot.ZERO, ChainCore.Ballot.ZERO, CoreState.founded(seeds))));
+            nodes.values().forEach(this::boot);
+        }
+
+        void boot(Node n) {
+            n.core = Optional.of(new ChainCore(n.ip, rnd.nextLong(), n.disk, Comparator.naturalOrder(), now));
+            n.core.get().onKnown(nodes.keySet().stream().filter(x -> !x.equals(n.ip)).toList());
+        }
+
+        void crash(Node n, boolean wipe) {
+            if (n.syncing.isPresent() && rnd.nextBoolean()) {
+                n.disk = Optional.of(n.syncing.get().ledger());
+            }
+            n.syncing = Optional.empty();
+            n.core = Optional.empty();
+            n.upAt = now + 300_000 + rnd.nextInt(2_000_000);
+            if (wipe) {
+                n.disk = Optional.empty();
+                wiped = n.ip;
+            }
+        }
+
+        void carryOut(Node n) {
+            for (var l = n.core.get().drain(); !l.isEmpty(); l = n.core.get().drain()) {
+                for (var c : l) {
+                    if (c instanceof ChainCore.Send s && nodes.containsKey(s.to())) {
+                        post(n.ip, s);
+                    } else if (c instanceof ChainCore.Store s) {
+                        n.syncing = Optional.of(s);
+                        n.syncedAt = now + 1000 + rnd.nextInt(rnd.nextInt(40) == 0 ? 3_000_000 : 5000);
+                    } else if (c instanceof ChainCore.Answer a && a.errand() >= 0 && a.status() == 200) {
+                        answered(a.errand());
+                    }
+                }
+            }
+        }
+
+        void post(String from, ChainCore.Send s) {
+            if (rnd.nextDouble() < drop || cut.contains(from + ">" + s.to())) {
+                return;
+            }
+            mails.add(new Mail(now + 500 + rnd.nextInt(rnd.nextInt(20) == 0 ? 400_000 : 40_000), mailN++, from, s.to(), s.rec()));
+        }
+
+        void answered(long errand) {
+            var c = asked.get(errand);
+            if (c.act != CoreState.Act.REPLACE) {
+                return;
+            }
+            var before = Optional.ofNullable(acked.put(c.base + 1, c.body));
+            assertTrue(before.isEmpty() || before.get().equals(c.body), "two changes on base " + c.base + " were both acknowledged");
+        }
+
+        void ask() {
+            var l = nodes.values().stream().filter(n -> n.core.isPresent() && n.core.get().heading()).toList();
+            if (l.isEmpty()) {
+                return;
+            }
+            var n = l.get(rnd.nextInt(l.size()));
+            var base = n.core.get().committed().revision;
+            var c = new CoreState.Change(CoreState.Act.REPLACE, base, "", "{\"Revision\":" + (base + 1) + ",\"Routes\":[],\"Backends\":[],\"Note\":" + bodies++ + "}");
+            asked.put(++errand, c);
+            n.core.get().onAsk(now, errand, c);
+            carryOut(n);
+        }
+
+        void step() {
+            now += 5_000;
+            while (!mails.isEmpty() && mails.peek().at <= now) {
+                var m = mails.poll();
+                var n = nodes.get(m.to);
+                if (n.core.isPresent() && !cut.contains(m.from + ">" + m.to)) {
+                    n.core.get().onRecord(now, m.from, m.rec);
+                    carryOut(n);
+                }
+            }
+            for (var n : nodes.values()) {
+                if (n.core.isEmpty() && now >= n.upAt) {
+                    boot(n);
+                }
+                if (n.core.isPresent() && n.syncing.isPresent() && now >= n.syncedAt) {
+                    var s = n.syncing.get();
+                    n.syncing = Optional.empty();
+                    n.disk = Optional.of(s.ledger());
+                    n.core.get().onStored(now, s.token());
+                    carryOut(n);
+                }
+                if (n.core.isPresent() && now % 50_000 == 0) {
+                    n.core.get().onTick(now);
+                    carryOut(n);
+                }
+            }
+            if (!wiped.isEmpty() && nodes.get(wiped).core.isPresent() && nodes.get(wiped).core.get().mode() != ChainCore.Mode.LEARNING) {
+                wiped = "";
+            }
+        }
+
+        void trouble() {
+            var ips = List.copyOf(nodes.keySet());
+            var n = nodes.get(ips.get(rnd.nextInt(N)));
+            switch (rnd.nextInt(6)) {
+                case 0 -> {
+                    if (n.core.isPresent()) {
+                        crash(n, wiped.isEmpty() && rnd.nextBoolean() && nodes.values().stream().allMatch(x -> x.core.isPresent() && x.core.get().mode() != ChainCore.Mode.LEARNING));
+                    }
+                }
+                case 1 -> {
+                    for (var x : ips) {
+                        cut.add(n.ip + ">" + x);
+                        if (rnd.nextBoolean()) {
+                            cut.add(x + ">" + n.ip);
+                        }
+                    }
+                }
+                case 2 -> cut.clear();
+                case 3 -> drop = rnd.nextDouble() * 0.2;
+                case 4 -> nodes.values().forEach(x -> {
+                    if (x.core.isPresent() && rnd.nextInt(3) > 0) {
+                        crash(x, false);
+                    }
+                });
+                default -> drop = 0;
+            }
+        }
+
+        boolean grown() {
+            return nodes.values().stream().anyMatch(n -> n.core.isPresent() && n.core.get().heading() && n.core.get().committed().roster.size() == N);
+        }
+
+        void heal() {
+            cut.clear();
+            drop = 0;
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24})
+    void whatWasAcknowledgedStays(long seed) {
+        var w = new World(seed);
+        for (var i = 0; i < 8000 && !w.grown(); i++) {
+            w.step();
+        }
+        assertTrue(w.grown(), "the core grows to all its daemons");
+        for (var i = 0; i < 12_000; i++) {
+            w.step();
+            if (w.rnd.nextInt(20) == 0) {
+                w.ask();
+            }
+            if (w.rnd.nextInt(200) == 0) {
+                w.trouble();
+            }
+        }
+        w.heal();
+        for (var i = 0; i < 3000; i++) {
+            w.step();
+        }
+        var heads = w.nodes.values().stream().filter(n -> n.core.isPresent() && n.core.get().heading()).toList();
+        assertEquals(1, heads.size(), "one head when calm");
+        var s = heads.get(0).core.get().committed();
+        assertTrue(w.acked.size() > 5, "something was acknowledged: " + w.acked.size());
+        var newest = Collections.max(w.acked.keySet());
+        assertTrue(s.revision >= newest, "revision " + s.revision + " is behind the acknowledged " + newest);
+        if (s.revision == newest) {
+            assertEquals(w.acked.get(newest), s.json);
+        }
+        w.nodes.values().forEach(n -> assertEquals(s.revision, n.core.get().committed().revision, "all members know the newest"));
+    }
+}
--- /dev/null
+++ b/pantry/src/test/java/martenloom/pantry/disk/ShelfTest.java
@@ -0,0 +1,97 @@
+package martenloom.pantry.disk;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.nio.charset.*;
+import java.nio.file.*;
+import java.util.*;
+import martenloom.galley.fault.*;
+import org.junit.jupiter.api.*;
+import org.junit.jupiter.api.io.*;
+
+/** The shelf over a stand-in disk that loses and tears what was not synced, and over a real folder. */
+final class ShelfTest {
+    /** Names become lasting with the folder's sync; a loss of power undoes what was not. */
+    private static final class StandIn implements Shelf.Folder {
+        private final Map<String, byte[]> now = new TreeMap<>();
+        private Map<String, byte[]> lasting = new TreeMap<>();
+        private int refuse;
+
+        @Override
+        public List<String> names() {
+            return List.copyOf(now.keySet());
+        }
+
+        @Override
+        public byte[] read(String n) {
+            return now.get(n);
+        }
+
+        @Override
+        public void writeSynced(String n, byte[] b) {
+            if (refuse-- > 0) {
+                throw Fault.here(Fault.Code.DISK, "write", "refused");
+            }
+            now.put(n, b);
+            lasting.put(n, b);
+        }
+
+        @Override
+        public void rename(String a, String b) {
+            now.put(b, now.remove(a));
+        }
+
+        @Override
+        public void syncFolder() {
+            lasting = new TreeMap<>(now);
+        }
+
+        @Override
+        public void remove(String n) {
+            now.remove(n);
+        }
+
+        private void losePower(boolean tear) {
+            now.clear();
+            now.putAll(lasting);
+            if (tear) {
+                now.put("ledger-00000000000000ff", new byte[] {0, 0, 0, 9, 1});
+            }
+        }
+    }
+
+    private static byte[] b(String s) {
+        return s.getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void theNewestWholeVersionComesBackAfterALossOfPower() {
+        var f = new StandIn();
+        var s = new Shelf(f);
+        s.keep(b("one"));
+        s.keep(b("two"));
+        f.losePower(true);
+        assertArrayEquals(b("two"), new Shelf(f).load().get());
+    }
+
+    @Test
+    void anEmptyFolderGivesNothingAndARefusedWriteIsTriedAgain() throws Exception {
+        var f = new StandIn();
+        assertTrue(new Shelf(f).load().isEmpty());
+        f.refuse = 2;
+        var done = new java.util.concurrent.CountDownLatch(1);
+        new Shelf(f).keepLater(() -> b("late"), done::countDown);
+        assertTrue(done.await(10, java.util.concurrent.TimeUnit.SECONDS));
+        assertArrayEquals(b("late"), new Shelf(f).load().get());
+    }
+
+    @Test
+    void aRealFolderKeepsOneFileAVersion(@TempDir Path dir) {
+        var s = new Shelf(new Shelf.RealFolder(dir.resolve("a").toString()));
+        s.keep(b("one"));
+        s.keep(b("two"));
+        var f = new Shelf.RealFolder(dir.resolve("a").toString());
+        assertEquals(1, f.names().size());
+        assertArrayEquals(b("two"), new Shelf(f).load().get());
+    }
+}
