--- a/galley/src/main/java/martenloom/galley/fleet/Rows.java
+++ b/galley/src/main/java/martenloom/galley/fleet/Rows.java
@@ -15,6 +15,7 @@
     public static final int DUTY_WANT = 44;
     public static final int DUTY_GRANT = 45;
     public static final int HELLO = 46;
+    public static final int HEARD = 47;
     public static final int RENEW = 60;
     public static final int NEWS = 61;
     public static final int SETUP = 62;
--- a/galley/src/main/java/martenloom/galley/log/RingLog.java
+++ b/galley/src/main/java/martenloom/galley/log/RingLog.java
@@ -21,7 +21,13 @@
         return System.nanoTime() / 1000;
     }
 
+    /** With -Dmartenloom.chatty=true every note is also printed as it is made. */
+    private static final boolean CHATTY = Boolean.getBoolean("martenloom.chatty");
+
     public static synchronized void note(String s) {
+        if (CHATTY) {
+            System.err.println(s);
+        }
         RING[(int) (next++ % SIZE)] = nowUs() / 1000 + " " + s;
     }
 
--- a/newsstand/src/main/java/martenloom/newsstand/Newsstand.java
+++ b/newsstand/src/main/java/martenloom/newsstand/Newsstand.java
@@ -207,7 +207,7 @@
         es.forEach(e -> edges.merge(e.ip, e, (a, b) -> b.newer(a) || b.life == a.life ? b : a));
         edges.values().removeIf(e -> now - e.heardUs > 12_000_000);
         count(now);
-        mismatches = digest == rack.digest() ? 0 : mismatches + 1;
+        mismatches = digest == rack.digest() && ed <= edition ? 0 : mismatches + 1;
         if (mismatches > 2) {
             mismatches = 0;
             home.ifPresent(d -> d.send(new Rec.Out(Rows.RESYNC).bytes()));
@@ -294,7 +294,11 @@
                 siblings.remove(ip).stop();
             }
         }
-        most = Math.max(most, 1);
+        var hello = new Rec.Out(Rows.HELLO).text(props.ip).bytes();
+        siblings.values().forEach(d -> {
+            d.check(2_000_000);
+            d.send(hello);
+        });
     }
 
     private void sample() {
@@ -413,7 +417,11 @@
     public void onRecord(Links.Link l, byte[] rec) {
         var in = new Rec.In(rec, true);
         switch (in.type) {
-            case Rows.HELLO -> l.peer = in.text();
+            case Rows.HELLO -> {
+                l.peer = in.text();
+                l.send(new Rec.Out(Rows.HEARD).bytes());
+            }
+            case Rows.HEARD -> {}
             case Rows.NEWS -> onNews(in);
             case Rows.SETUP -> onSetup(in);
             case Rows.REPLICAS -> onReplicas(in);
--- a/pantry/src/main/java/martenloom/pantry/Pantry.java
+++ b/pantry/src/main/java/martenloom/pantry/Pantry.java
@@ -230,8 +230,10 @@
         switch (t) {
             case Rows.HELLO -> {
                 l.peer = in.text();
+                l.send(new Rec.Out(Rows.HEARD).bytes());
                 dial(l.peer);
             }
+            case Rows.HEARD -> {}
             case Rows.FLOOD -> book.takeFlood(in, Clocks.nowUs());
             case Rows.DIGEST -> book.mend(in, Clocks.nowUs()).ifPresent(b -> Optional.ofNullable(dials.get(l.peer)).ifPresent(d -> d.send(b)));
             case Rows.ASK -> {
@@ -245,7 +247,10 @@
                 r.ifPresent(f -> f.accept(s, x));
             }
             case Rows.RENEW -> renew(l, in);
-            case Rows.RESYNC -> l.send(book.rows(book.replicas(), true, Clocks.nowUs()));
+            case Rows.RESYNC -> {
+                l.send(setup(chain.committed()));
+                l.send(book.rows(book.replicas(), true, Clocks.nowUs()));
+            }
             case Rows.DUTY_WANT -> duties.want(in.text(), in.text(), in.i64(), l);
             case Rows.DUTY_GRANT -> passGrant(rec, in);
             case Rec90.QUERY -> l.send(new Rec.Out(Rec90.TEXT).text(query(in.text())).bytes());
