--- /dev/null
+++ b/kiosk/src/test/java/martenloom/kiosk/CoreTest.java
@@ -0,0 +1,130 @@
+package martenloom.kiosk;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.nio.file.*;
+import java.util.concurrent.*;
+import martenloom.kiosk.town.*;
+import org.junit.jupiter.api.*;
+import org.junit.jupiter.api.io.*;
+
+/** The control plane as whole programs with real files: races, restarts, a wiped disk, growth, drains. */
+final class CoreTest {
+    @TempDir
+    Path dir;
+
+    @Test
+    void acknowledgedSetupsOutliveEverything() {
+        try (var t = new Town(dir, 72, 3)) {
+            assertEquals(200, t.order("POST /configuration/replace", "0", Town.setup(3, "")));
+            assertEquals(200, t.order("POST /configuration/replace", "0", Town.setup(3, "")), "the same again");
+            var extra = "," + Town.route("late", "/late/", "idempotent", "plain", 1, false, "");
+            var x = CompletableFuture.supplyAsync(() -> t.operator(0, "POST /configuration/replace", "3", Town.setup(5, "")).status);
+            var y = CompletableFuture.supplyAsync(() -> t.operator(1, "POST /configuration/replace", "3", Town.setup(6, extra)).status);
+            var won = (x.join() == 200 ? 1 : 0) + (y.join() == 200 ? 1 : 0);
+            assertEquals(1, won, x.join() + " and " + y.join());
+            var rev = x.join() == 200 ? 5 : 6;
+            assertEquals(400, t.order("POST /configuration/replace", "" + rev, Town.setup(9, "").replace("8000", "0")));
+            assertEquals(400, t.order("POST /configuration/replace", "" + rev, Town.setup(2, "")));
+            assertEquals(412, t.order("POST /configuration/replace", "3", Town.setup(11, "")));
+            assertEquals(200, t.order("POST /configuration/update", "" + rev, "{\"Revision\":20,\"Upsert\":{\"Routes\":[" + extra.substring(1) + "]}}"));
+            for (var i = 0; i < 3; i++) {
+                t.kill(t.core(i));
+            }
+            t.startCore(0, false);
+            t.wipe(1);
+            t.startCore(1, false);
+            assertEquals(503, t.operator(0, "GET /configuration/describe", "", "").status, "one kept disk and a wiped one are no majority");
+            t.startCore(2, false);
+            assertTrue(t.askUntil(t.core(1), "chain", "mode FOLLOWING").contains("FOLLOWING") || t.ask(t.core(1), "chain").contains("HEADING"), "the wiped one learns and serves again");
+            var d = t.operator(1, "GET /configuration/describe", "", "");
+            for (var i = 0; i < 50 && d.status != 200; i++) {
+                d = t.operator(1, "GET /configuration/describe", "", "");
+            }
+            assertTrue(d.body.contains("\"Revision\":20") && d.body.contains("\"late\""), d.status + d.body);
+        }
+    }
+
+    @Test
+    void theCoreGrowsToAllItsDaemonsAndOutlivesItsHead() {
+        try (var t = new Town(dir, 73, 5)) {
+            assertEquals(200, t.order("POST /configuration/replace", "0", Town.setup(3, "")));
+            var c = t.askUntil(t.core(0), "chain", t.core(4) + "]\n");
+            for (var i = 0; i < 5; i++) {
+                assertTrue(c.contains(t.core(i)), c);
+            }
+            var head = c.replaceAll("(?s).*head (\\S+) .*", "$1");
+            t.kill(head);
+            var other = head.equals(t.core(1)) ? 2 : 1;
+            var ok = 0;
+            for (var i = 0; i < 50 && ok != 200; i++) {
+                ok = t.operator(other, "POST /configuration/replace", "3", Town.setup(4, "")).status;
+            }
+            assertEquals(200, ok);
+        }
+    }
+
+    @Test
+    void aDrainingReplicaGetsNothingMoreAndALateBeatIsDropped() {
+        try (var t = new Town(dir, 74, 3)) {
+            var a = t.replica("i-a", "plain", 0);
+            var b = t.replica("i-b", "plain", 0);
+            t.replica("i-m", "model", 0);
+            t.startEdge(0);
+            assertEquals(200, t.order("POST /configuration/replace", "0", Town.setup(3, "")));
+            t.awaitReady(0);
+            t.mute(a);
+            var late = a.beat("ready", 0);
+            assertEquals(200, t.beat(a, "draining", 0));
+            t.askUntil(t.edge(0), "replicas", "draining");
+            Http.call(t.control(0), "POST /instances/i-a/heartbeat HTTP/1.1\r\nHost: c\r\nConnection: close\r\n", late);
+            for (var i = 0; i < 10; i++) {
+                assertEquals("seal-i-b", t.errand(0, "/safe/x", "d" + i, "", "").fields.get("X-Server-Seal"));
+            }
+            assertTrue(t.ask(t.core(0), "replicas").contains("i-a plain " + a.address + " north-a draining"));
+            assertEquals(0, b.ran("none"));
+        }
+    }
+
+    @Test
+    void lookupListsNearReadyEdgesAndEdgesServeWithoutTheCore() {
+        try (var t = new Town(dir, 75, 3)) {
+            t.replica("i-a", "plain", 0);
+            t.replica("i-m", "model", 0);
+            t.startEdge(0);
+            t.startEdge(1);
+            assertEquals(200, t.order("POST /configuration/replace", "0", Town.setup(3, "")));
+            t.awaitReady(0, 1);
+            t.askUntil(t.core(1), "members", t.edge(1) + " edge1 south-b ready");
+            var l = t.operator(1, "GET /lookup?Name=town.example&Region=south&Zone=south-b", "", "");
+            assertEquals("{\"Addresses\":[\"" + t.front(1) + "\"],\"TtlS\":1.5}", l.body);
+            for (var i = 0; i < 3; i++) {
+                t.kill(t.core(i));
+            }
+            assertEquals(200, t.errand(0, "/safe/x", "n1", "", "").status);
+            assertEquals(200, t.errand(1, "/safe/x", "n2", "", "").status);
+        }
+    }
+
+    @Test
+    void anOverloadedRegionReportsAndOthersKeepTheState() {
+        try (var t = new Town(dir, 76, 3)) {
+            t.replica("i-a", "plain", 0);
+            var m = t.replica("i-m", "model", 0);
+            t.startEdge(0);
+            t.startEdge(1);
+            assertEquals(200, t.order("POST /configuration/replace", "0", Town.setup(3, "")));
+            t.awaitReady(0, 1);
+            assertTrue(t.askUntil(t.edge(0), "leases", "north/m grant 1").contains("north/m grant 1"));
+            m.mode = StandIn.Mode.SILENT;
+            var pool = Executors.newCachedThreadPool();
+            for (var i = 0; i < 12; i++) {
+                var id = "big" + i;
+                pool.execute(() -> t.errand(0, "/o/stream", id, "X-Model: m\r\nX-Token-Usage: 30000,40\r\nX-Prompt-Prefix: aa" + id + ":30000\r\n", "p"));
+            }
+            var o = t.askUntil(t.edge(1), "overload", "north/m ACTIVE");
+            assertTrue(o.contains("north/m ACTIVE") && o.contains("reporter " + t.edge(0)) && o.contains("sequence 1.") && o.contains("algorithm loss"), o);
+            pool.shutdownNow();
+        }
+    }
+}
--- /dev/null
+++ b/kiosk/src/test/java/martenloom/kiosk/ServingTest.java
@@ -0,0 +1,162 @@
+package martenloom.kiosk;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.nio.file.*;
+import martenloom.kiosk.town.*;
+import org.junit.jupiter.api.*;
+import org.junit.jupiter.api.io.*;
+
+/** The data plane as whole programs: answers, faults of replicas, homes, drains and evacuations. */
+final class ServingTest {
+    private static Town t;
+    private static StandIn a;
+    private static StandIn b;
+    private static StandIn m1;
+    private static StandIn m2;
+    @TempDir
+    static Path dir;
+
+    @BeforeAll
+    static void open() {
+        t = new Town(dir, 71, 3);
+        a = t.replica("i-a", "plain", 0);
+        b = t.replica("i-b", "plain", 1);
+        m1 = t.replica("i-m1", "model", 0);
+        m2 = t.replica("i-m2", "model", 0);
+        t.startEdge(0);
+        t.startEdge(1);
+        assertEquals(200, t.order("POST /configuration/replace", "0", Town.setup(3, "")));
+        t.awaitReady(0, 1);
+    }
+
+    @AfterAll
+    static void close() {
+        t.close();
+    }
+
+    @BeforeEach
+    void well() {
+        t.replicas.forEach(r -> r.mode = StandIn.Mode.WELL);
+        t.askUntil(t.edge(0), "replicas", "i-m2");
+    }
+
+    private static String ids(String body) {
+        return body.replaceAll("(?s)id: (\\d+)\ndata: piece \\d+\n\n", "$1,");
+    }
+
+    @Test
+    void anAnswerComesBackUnalteredWithItsSeal() {
+        var r = t.errand(0, "/safe/x?q=1", "a1", "X-Other: kept\r\n", "body text");
+        assertEquals(200, r.status);
+        assertEquals("done by plain for a1", r.body);
+        assertTrue(r.fields.get("X-Server-Seal").startsWith("seal-"));
+        var seen = a.heads.getOrDefault("a1", b.heads.getOrDefault("a1", ""));
+        assertTrue(seen.startsWith("POST /safe/x?q=1 HTTP/1.1"), seen);
+        assertTrue(seen.contains("X-Other=kept") && seen.endsWith("body text") && seen.contains("X-Target-Instance=i-"), seen);
+    }
+
+    @Test
+    void anUnknownRouteIs404AndSmugglingIs400() {
+        assertEquals(404, t.errand(0, "/none/x", "a2", "", "").status);
+        var r = Http.call(t.front(0), "POST /safe/x HTTP/1.1\r\nHost: town.example\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\nGET /safe/ HTTP/1.1\r\n\r\n");
+        assertEquals(400, r.status);
+    }
+
+    @Test
+    void aStreamPassesWhole() {
+        var r = t.errand(0, "/o/stream", "a3", "X-Model: m\r\nX-Token-Usage: 10,40\r\n", "p");
+        assertTrue(r.whole);
+        assertEquals("1,2,3,4,5,6,7,8,", ids(r.body));
+    }
+
+    @Test
+    void aResumableStreamGoesOnAtAnotherReplicaInOneAnswer() {
+        m1.mode = StandIn.Mode.CUT_STREAM;
+        for (var i = 0; i < 6; i++) {
+            var r = t.errand(0, "/r/stream", "a4" + i, "X-Model: m\r\nX-Token-Usage: 10,40\r\n", "p");
+            assertTrue(r.whole);
+            assertEquals("1,2,3,4,5,6,7,8,", ids(r.body));
+        }
+        assertTrue(m1.ranAll() > 0, "the cutting replica was asked");
+    }
+
+    @Test
+    void aStreamThatMayNotBeRepeatedEndsVisiblyCut() {
+        m1.mode = StandIn.Mode.CUT_STREAM;
+        m2.mode = StandIn.Mode.CUT_STREAM;
+        var r = t.errand(0, "/o/stream", "a5", "X-Model: m\r\nX-Token-Usage: 10,40\r\n", "p");
+        assertFalse(r.whole);
+        assertEquals(1, m1.ran("a5") + m2.ran("a5"));
+    }
+
+    @Test
+    void aRepeatableErrandGoesToAnotherReplicaAfterAReset() {
+        a.mode = StandIn.Mode.RESET;
+        var r = t.errand(0, "/safe/x", "a6", "", "");
+        assertEquals(200, r.status);
+        assertEquals("seal-i-b", r.fields.get("X-Server-Seal"));
+    }
+
+    @Test
+    void whatMayNotRunTwiceIsNeitherRepeatedNorPromised() {
+        a.mode = StandIn.Mode.RESET;
+        b.mode = StandIn.Mode.RESET;
+        var r = t.errand(0, "/once/x", "a7", "", "");
+        assertEquals(502, r.status);
+        assertEquals(1, a.ran("a7") + b.ran("a7"));
+    }
+
+    @Test
+    void notRunIsRefusedWithAPromiseAndATime() {
+        a.mode = StandIn.Mode.NOT_RUN;
+        b.mode = StandIn.Mode.NOT_RUN;
+        var r = t.errand(0, "/once/x", "a8", "", "");
+        assertEquals(503, r.status);
+        assertTrue(Double.parseDouble(r.fields.get("Retry-After")) > 0);
+        assertEquals(0, a.ran("a8") + b.ran("a8"));
+    }
+
+    @Test
+    void garbledExtraAndLateAnswersNeverReachAnotherErrand() {
+        for (var mode : new StandIn.Mode[] {StandIn.Mode.EXTRA, StandIn.Mode.LATE_OTHER, StandIn.Mode.GARBLE}) {
+            a.mode = mode;
+            for (var i = 0; i < 6; i++) {
+                var id = "a9" + mode + i;
+                var r = t.errand(0, "/safe/x", id, "", "");
+                assertEquals(200, r.status);
+                assertEquals("done by plain for " + id, r.body);
+            }
+        }
+    }
+
+    @Test
+    void aHomeBindsWhereAnErrandRuns() {
+        for (var i = 0; i < 8; i++) {
+            assertEquals("seal-i-a", t.errand(i % 2, "/home/x", "h" + i, "", "").fields.get("X-Server-Seal"));
+        }
+        assertEquals(0, b.heads.keySet().stream().filter(k -> k.startsWith("h")).count());
+    }
+
+    @Test
+    void limitsOfTheSetupHold() {
+        assertEquals(413, t.errand(0, "/safe/x", "l1", "", "x".repeat(100_001)).status);
+        assertEquals(431, t.errand(0, "/safe/x", "l2", "X-Long: " + "y".repeat(9000) + "\r\n", "").status);
+    }
+
+    @Test
+    void anEvacuatedHallGetsNothingUntilItIsTakenBack() {
+        assertEquals(404, t.order("POST /evacuations/nowhere/start", "", ""));
+        assertEquals(200, t.order("POST /evacuations/south-b/start", "", ""));
+        for (var i = 0; i < 40 && !t.errand(1, "/safe/x", "e-wait" + i, "", "").fields.get("X-Server-Seal").equals("seal-i-a"); i++) {}
+        for (var i = 0; i < 6; i++) {
+            assertEquals("seal-i-a", t.errand(1, "/safe/x", "e" + i, "", "").fields.get("X-Server-Seal"));
+        }
+        assertEquals(200, t.order("POST /evacuations/south-b/finish", "", ""));
+        var back = false;
+        for (var i = 0; i < 4000 && !back; i++) {
+            back = t.errand(1, "/safe/x", "f" + i, "", "").fields.getOrDefault("X-Server-Seal", "").equals("seal-i-b");
+        }
+        assertTrue(back);
+    }
+}
--- /dev/null
+++ b/kiosk/src/test/java/martenloom/kiosk/town/Http.java
@@ -0,0 +1,86 @@
+package martenloom.kiosk.town;
+
+import java.io.*;
+import java.net.*;
+import java.nio.charset.*;
+import java.util.*;
+
+/** A requester's side for tests: one exchange on a connection of its own, read strictly to its end. */
+public final class Http {
+    private Http() {}
+
+    public static final class Receipt {
+        public int status;
+        public final Map<String, String> fields = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+        public String body = "";
+        public boolean whole;
+    }
+
+    public static Receipt call(String at, String head, String body) {
+        var i = at.lastIndexOf(':');
+        try (var s = new Socket()) {
+            s.connect(new InetSocketAddress(at.substring(0, i), Integer.parseInt(at.substring(i + 1))), 3000);
+            s.setSoTimeout(20_000);
+            var b = body.getBytes(StandardCharsets.UTF_8);
+            var h = head + (b.length > 0 || head.startsWith("POST") ? "Content-Length: " + b.length + "\r\n" : "") + "\r\n";
+            s.getOutputStream().write(h.getBytes(StandardCharsets.ISO_8859_1));
+            s.getOutputStream().write(b);
+            s.getOutputStream().flush();
+            return read(new BufferedInputStream(s.getInputStream()));
+        } catch (IOException e) {
+            return new Receipt();
+        }
+    }
+
+    public static Receipt read(InputStream in) throws IOException {
+        var r = new Receipt();
+        var l = line(in);
+        if (l.length() < 12) {
+            return r;
+        }
+        r.status = Integer.parseInt(l.substring(9, 12));
+        for (l = line(in); !l.isEmpty(); l = line(in)) {
+            var c = l.indexOf(':');
+            r.fields.put(l.substring(0, c), l.substring(c + 1).strip());
+        }
+        var out = new ByteArrayOutputStream();
+        if (r.fields.containsKey("Transfer-Encoding")) {
+            r.whole = chunks(in, out);
+        } else {
+            var n = Integer.parseInt(r.fields.getOrDefault("Content-Length", "0"));
+            out.write(in.readNBytes(n));
+            r.whole = out.size() == n;
+        }
+        r.body = out.toString(StandardCharsets.UTF_8);
+        return r;
+    }
+
+    private static boolean chunks(InputStream in, ByteArrayOutputStream out) throws IOException {
+        while (true) {
+            var l = line(in);
+            if (l.isEmpty()) {
+                return false;
+            }
+            var n = Integer.parseInt(l, 16);
+            var b = in.readNBytes(n);
+            out.write(b);
+            if (b.length < n) {
+                return false;
+            }
+            line(in);
+            if (n == 0) {
+                return true;
+            }
+        }
+    }
+
+    static String line(InputStream in) throws IOException {
+        var b = new StringBuilder();
+        for (var c = in.read(); c >= 0 && c != '\n'; c = in.read()) {
+            if (c != '\r') {
+                b.append((char) c);
+            }
+        }
+        return b.toString();
+    }
+}
--- /dev/null
+++ b/kiosk/src/test/java/martenloom/kiosk/town/StandIn.java
@@ -0,0 +1,152 @@
+package martenloom.kiosk.town;
+
+import java.io.*;
+import java.net.*;
+import java.nio.charset.*;
+import java.util.*;
+import java.util.concurrent.*;
+import java.util.concurrent.atomic.*;
+
+/** A stand-in for a replica, with switches for its faults; it counts what it ran by id. */
+public final class StandIn implements Closeable {
+    public enum Mode { WELL, CUT_STREAM, RESET, EXTRA, GARBLE, NOT_RUN, SILENT, LATE_OTHER }
+
+    public final String id;
+    public final String service;
+    public final String hall;
+    public final String address;
+    public volatile Mode mode = Mode.WELL;
+    public final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
+    public final Map<String, String> heads = new ConcurrentHashMap<>();
+    public final AtomicInteger seq = new AtomicInteger();
+    private final ServerSocket door;
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+    private final ExecutorService hands = Executors.newCachedThreadPool(r -> {
+        var t = new Thread(r, "stand-in");
+        t.setDaemon(true);
+        return t;
+    });
+
+    public StandIn(String id, String service, String hall, String ip) throws IOException {
+        this.id = id;
+        this.service = service;
+        this.hall = hall;
+        door = new ServerSocket();
+        door.bind(new InetSocketAddress(ip, 0));
+        address = ip + ":" + door.getLocalPort();
+        hands.execute(this::accept);
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                var s = door.accept();
+                open.add(s);
+                hands.execute(() -> serve(s));
+            }
+        } catch (IOException e) {
+            return;
+        }
+    }
+
+    public int ran(String attempt) {
+        return runs.getOrDefault(attempt, new AtomicInteger()).get();
+    }
+
+    public int ranAll() {
+        return runs.values().stream().mapToInt(AtomicInteger::get).sum();
+    }
+
+    private void serve(Socket s) {
+        try (s) {
+            var in = new BufferedInputStream(s.getInputStream());
+            var out = s.getOutputStream();
+            while (one(s, in, out)) {}
+        } catch (IOException e) {
+            return;
+        } finally {
+            open.remove(s);
+        }
+    }
+
+    private boolean one(Socket s, InputStream in, OutputStream out) throws IOException {
+        var start = Http.line(in);
+        if (start.isEmpty()) {
+            return false;
+        }
+        var f = new TreeMap<String, String>(String.CASE_INSENSITIVE_ORDER);
+        for (var l = Http.line(in); !l.isEmpty(); l = Http.line(in)) {
+            f.put(l.substring(0, l.indexOf(':')), l.substring(l.indexOf(':') + 1).strip());
+        }
+        var body = in.readNBytes(Integer.parseInt(f.getOrDefault("Content-Length", "0")));
+        var a = f.getOrDefault("X-Attempt-Id", "");
+        if (!f.getOrDefault("X-Target-Instance", id).equals(id)) {
+            out.write(("HTTP/1.1 421 Misdirected\r\nX-Attempt-Id: " + a + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n").getBytes());
+            return true;
+        }
+        if (mode == Mode.NOT_RUN) {
+            out.write(("HTTP/1.1 503 Full\r\nX-Attempt-Id: " + a + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n").getBytes());
+            return true;
+        }
+        runs.computeIfAbsent(a, k -> new AtomicInteger()).incrementAndGet();
+        heads.put(a, start + " " + f + " " + new String(body, StandardCharsets.UTF_8));
+        if (mode == Mode.RESET) {
+            s.setSoLinger(true, 0);
+            return false;
+        }
+        if (mode == Mode.SILENT) {
+            in.read();
+            return false;
+        }
+        if (mode == Mode.GARBLE) {
+            out.write("ceci n'est pas une reponse\r\n\r\n".getBytes());
+            return false;
+        }
+        if (mode == Mode.LATE_OTHER) {
+            out.write(("HTTP/1.1 200 OK\r\nX-Attempt-Id: 0123\r\nX-Server-Seal: old\r\nContent-Length: 5\r\n\r\nstale").getBytes());
+        }
+        if (start.contains("/stream")) {
+            return stream(s, out, a, Integer.parseInt(f.getOrDefault("Last-Event-Id", "0").isEmpty() ? "0" : f.getOrDefault("Last-Event-Id", "0")));
+        }
+        var text = "done by " + service + " for " + a;
+        var answer = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + a + "\r\nX-Server-Seal: seal-" + id + "\r\nContent-Length: " + text.length() + "\r\n\r\n" + text;
+        out.write((answer + (mode == Mode.EXTRA ? answer : "")).getBytes());
+        out.flush();
+        return true;
+    }
+
+    private boolean stream(Socket s, OutputStream out, String a, int from) throws IOException {
+        out.write(("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + a + "\r\nX-Server-Seal: seal-" + id + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").getBytes());
+        for (var i = from + 1; i <= 8; i++) {
+            var e = "id: " + i + "\ndata: piece " + i + "\n\n";
+            if (mode == Mode.CUT_STREAM && i == 4) {
+                out.write((Integer.toHexString(e.length()) + "\r\n" + e.substring(0, 5)).getBytes());
+                out.flush();
+                return false;
+            }
+            out.write((Integer.toHexString(e.length()) + "\r\n" + e + "\r\n").getBytes());
+            out.flush();
+        }
+        out.write("0\r\n\r\n".getBytes());
+        out.flush();
+        return true;
+    }
+
+    public String beat(String state, int warmLeftMs) {
+        return "{\"Backend\":\"" + service + "\",\"Address\":\"" + address + "\",\"Zone\":\"" + hall + "\",\"Revision\":\"v1\",\"Capacity\":8,\"State\":\"" + state
+            + "\",\"WarmupLeftMs\":" + warmLeftMs + ",\"Sequence\":" + seq.incrementAndGet() + "}";
+    }
+
+    @Override
+    public void close() throws IOException {
+        door.close();
+        open.forEach(s -> {
+            try {
+                s.close();
+            } catch (IOException e) {
+                return;
+            }
+        });
+        hands.shutdownNow();
+    }
+}
--- /dev/null
+++ b/kiosk/src/test/java/martenloom/kiosk/town/Town.java
@@ -0,0 +1,248 @@
+package martenloom.kiosk.town;
+
+import io.activej.eventloop.*;
+import java.io.*;
+import java.net.*;
+import java.nio.file.*;
+import java.util.*;
+import java.util.concurrent.*;
+import java.util.stream.*;
+import martenloom.foreman.*;
+import martenloom.galley.clock.*;
+import martenloom.galley.props.*;
+import martenloom.newsstand.*;
+import martenloom.pantry.*;
+import martenloom.pantry.disk.*;
+
+/**
+ * Whole programs over loopback: core daemons and edges, each on a reactor of its own and at a loopback address of its
+ * own, with stand-in replicas. Waiting is for signals: an edge's readiness, an answer, a state that a query shows.
+ */
+public final class Town implements Closeable {
+    private static final int PORT = 17720;
+    private static final int CONTROL = 18166;
+    private static final int FRONT = 18161;
+    private static final int READY = 18167;
+    private static final List<String> HALLS = List.of("north-a", "south-b", "west-c");
+
+    private final Path dir;
+    private final int net;
+    private final List<String> seeds;
+    private final Map<String, Eventloop> loops = new TreeMap<>();
+    private final Map<String, Newsstand> edges = new TreeMap<>();
+    public final List<StandIn> replicas = new ArrayList<>();
+    private final ScheduledExecutorService beats = Executors.newScheduledThreadPool(2, r -> {
+        var t = new Thread(r, "beats");
+        t.setDaemon(true);
+        return t;
+    });
+    private final Set<String> mute = ConcurrentHashMap.newKeySet();
+    public final Map<String, Integer> warmLeft = new ConcurrentHashMap<>();
+
+    public Town(Path dir, int net, int cores) {
+        this.dir = dir;
+        this.net = net;
+        seeds = IntStream.range(0, Math.min(3, cores)).mapToObj(i -> core(i) + ":" + CONTROL).toList();
+        for (var i = 0; i < cores; i++) {
+            startCore(i, true);
+        }
+        beats.scheduleWithFixedDelay(this::beatAll, 0, 300, TimeUnit.MILLISECONDS);
+    }
+
+    public String core(int i) {
+        return "127." + net + ".1." + (10 + i);
+    }
+
+    public String edge(int i) {
+        return "127." + net + ".2." + (10 + i);
+    }
+
+    public String control(int i) {
+        return core(i) + ":" + CONTROL;
+    }
+
+    public String front(int i) {
+        return edge(i) + ":" + FRONT;
+    }
+
+    private Props props(String ip, int i, String role, boolean bootstrap) {
+        var hall = HALLS.get(i % 3);
+        var l = role.equals("core") ? "ControlPlane = \"" + ip + ":" + CONTROL + "\"\n" : "Frontend = \"" + ip + ":" + FRONT + "\"\nReadiness = \"" + ip + ":" + READY + "\"\n";
+        return Props.parse("NodeName = \"" + role + i + "\"\nIpAddress = \"" + ip + "\"\nZone = \"" + hall + "\"\nRegion = \"" + hall.split("-")[0] + "\"\n"
+            + "InternalPortRange = [" + PORT + "," + (PORT + 10) + "]\nSeedNodes = [" + seeds.stream().map(s -> '"' + s + '"').collect(Collectors.joining(",")) + "]\n"
+            + "Bootstrap = " + bootstrap + "\nQuorumMember = " + role.equals("core") + "\nDataDirectory = \"" + dir.resolve(role + i) + "\"\nHeartbeatIntervalMs = 300\n"
+            + "Serves = [\"" + role + "\"]\n[Zones]\n" + HALLS.stream().map(h -> h + " = \"" + h.split("-")[0] + "\"\n").collect(Collectors.joining())
+            + "[ListenAddresses]\n" + l + "[Limits]\nMaxFileDescriptors = 2000\n[Bounds]\nGracePeriodS = 4\nRetrySlack = 50\nRetryBudgetRatio = 0.2\nWarmupOverage = 1.0\nWarmupSlack = 0\n");
+    }
+
+    public void startCore(int i, boolean bootstrap) {
+        var p = props(core(i), i, "core", bootstrap);
+        run(core(i), loop -> new Pantry(p, loop, new Shelf.RealFolder(p.dataDir)).start());
+    }
+
+    public Newsstand startEdge(int i) {
+        var p = props(edge(i), i, "edge", false);
+        var up = new CompletableFuture<Newsstand>();
+        run(edge(i), loop -> {
+            var n = new Newsstand(p, loop);
+            n.start();
+            up.complete(n);
+        });
+        edges.put(edge(i), up.join());
+        return up.join();
+    }
+
+    @FunctionalInterface
+    private interface Start {
+        void run(Eventloop l) throws IOException;
+    }
+
+    private void run(String name, Start s) {
+        var loop = Clocks.reactor(name);
+        loop.keepAlive(true);
+        var up = new CompletableFuture<Boolean>();
+        loop.execute(() -> {
+            try {
+                s.run(loop);
+                up.complete(true);
+            } catch (IOException | RuntimeException e) {
+                up.completeExceptionally(e);
+            }
+        });
+        var t = new Thread(loop::run, name);
+        t.setDaemon(true);
+        t.start();
+        up.join();
+        loops.put(name, loop);
+    }
+
+    /** Ends a program as a kill would: its sockets close and nothing of it runs on. */
+    public void kill(String ip) {
+        var loop = loops.remove(ip);
+        var down = new CompletableFuture<Boolean>();
+        loop.execute(() -> {
+            for (var k : List.copyOf(loop.getSelector().keys())) {
+                try {
+                    k.channel().close();
+                } catch (IOException e) {
+                    continue;
+                }
+            }
+            loop.keepAlive(false);
+            loop.breakEventloop();
+            down.complete(true);
+        });
+        down.join();
+    }
+
+    public void wipe(int i) {
+        try (var s = Files.walk(dir.resolve("core" + i))) {
+            s.filter(Files::isRegularFile).forEach(f -> f.toFile().delete());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    public StandIn replica(String id, String service, int hall) {
+        try {
+            var r = new StandIn(id, service, HALLS.get(hall), "127." + net + ".3." + (10 + replicas.size()));
+            replicas.add(r);
+            return r;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private void beatAll() {
+        for (var r : List.copyOf(replicas)) {
+            if (!mute.contains(r.id)) {
+                beat(r, "ready", warmLeft.getOrDefault(r.id, 0));
+            }
+        }
+    }
+
+    public void mute(StandIn r) {
+        mute.add(r.id);
+    }
+
+    public int beat(StandIn r, String state, int warmLeftMs) {
+        for (var ip : List.copyOf(loops.keySet())) {
+            if (ip.contains(".1.")) {
+                var x = Http.call(ip + ":" + CONTROL, "POST /instances/" + r.id + "/heartbeat HTTP/1.1\r\nHost: c\r\nConnection: close\r\n", r.beat(state, warmLeftMs));
+                if (x.status == 200) {
+                    return 200;
+                }
+            }
+        }
+        return 0;
+    }
+
+    public Http.Receipt operator(int core, String call, String base, String body) {
+        return Http.call(control(core), call + " HTTP/1.1\r\nHost: c\r\nConnection: close\r\n" + (base.isEmpty() ? "" : "X-Base-Revision: " + base + "\r\n"), body);
+    }
+
+    /** As the operator does: the same order again, at one daemon after another, until there is a clear answer. */
+    public int order(String call, String base, String body) {
+        for (var i = 0; i < 200; i++) {
+            var r = operator(i % Math.max(1, (int) loops.keySet().stream().filter(x -> x.contains(".1.")).count()), call, base, body);
+            if (r.status == 200 || r.status / 100 == 4) {
+                return r.status;
+            }
+        }
+        return 0;
+    }
+
+    public void awaitReady(int... which) {
+        for (var i : which) {
+            edges.get(edge(i)).whenReady().orTimeout(30, TimeUnit.SECONDS).join();
+        }
+    }
+
+    public Http.Receipt errand(int edge, String path, String attempt, String more, String body) {
+        return Http.call(front(edge), "POST " + path + " HTTP/1.1\r\nHost: town.example\r\nX-Attempt-Id: " + attempt + "\r\nX-Time-Remaining: 8000\r\nConnection: close\r\n" + more, body);
+    }
+
+    public String ask(String ip, String query) {
+        return Foreman.ask(new InetSocketAddress(ip, PORT), query);
+    }
+
+    /** Asks until the answer shows what is looked for; gives up after many asks. */
+    public String askUntil(String ip, String query, String sought) {
+        var end = System.nanoTime() + 25_000_000_000L;
+        var a = ask(ip, query);
+        while (!a.contains(sought) && System.nanoTime() < end) {
+            a = ask(ip, query);
+        }
+        return a;
+    }
+
+    public static String setup(int rev, String extraRoutes) {
+        return "{\"Revision\":" + rev + ",\"Routes\":["
+            + route("safe", "/safe/", "idempotent", "plain", 3, false, "")
+            + "," + route("once", "/once/", "non_idempotent", "plain", 1, false, "")
+            + "," + route("streamr", "/r/", "streaming", "model", 2, true, "")
+            + "," + route("streamo", "/o/", "streaming", "model", 1, false, "")
+            + "," + route("home", "/home/", "idempotent", "plain", 2, false, "\"north\"")
+            + extraRoutes + "],\"Backends\":[{\"Name\":\"plain\",\"HealthPath\":\"/h\",\"MaxConnections\":60,\"WarmupS\":0,\"WarmupPerS\":0},"
+            + "{\"Name\":\"model\",\"HealthPath\":\"/h\",\"MaxConnections\":60,\"WarmupS\":1.0,\"WarmupPerS\":8.0,\"InferenceEngine\":{\"Capacity\":8,\"CacheTokens\":100000,\"StepSize\":5,"
+            + "\"Models\":[{\"Name\":\"m\"}]}}],\"Limits\":{\"MaxHeaderBytes\":8192,\"MaxBodyBytes\":100000,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}}";
+    }
+
+    public static String route(String name, String prefix, String kind, String service, int tries, boolean resumable, String regions) {
+        return "{\"Name\":\"" + name + "\",\"Hostname\":\"town.example\",\"PathPrefix\":\"" + prefix + "\",\"RouteType\":\"" + kind + "\",\"TimeoutMs\":8000,\"TargetLatencyMs\":2000,"
+            + "\"Priority\":0,\"Backend\":\"" + service + "\",\"MaxAttempts\":" + tries + ",\"SessionAffinity\":false,\"Resumable\":" + resumable + ",\"TargetGapMs\":800,\"AllowedRegions\":[" + regions + "]}";
+    }
+
+    @Override
+    public void close() {
+        beats.shutdownNow();
+        List.copyOf(loops.keySet()).forEach(this::kill);
+        replicas.forEach(r -> {
+            try {
+                r.close();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+    }
+}
--- a/newsstand/src/main/java/martenloom/newsstand/Newsstand.java
+++ b/newsstand/src/main/java/martenloom/newsstand/Newsstand.java
@@ -71,6 +71,13 @@
         p.seeds.forEach(s -> cores.add(s.substring(0, s.lastIndexOf(':'))));
     }
 
+    private final CompletableFuture<Boolean> readied = new CompletableFuture<>();
+
+    /** The signal of readiness. */
+    public CompletableFuture<Boolean> whenReady() {
+        return readied;
+    }
+
     public Floor floor() {
         return floor;
     }
@@ -241,6 +248,7 @@
         var known = t.services.keySet().stream().allMatch(s -> !rack.of(s).isEmpty());
         if (known && synced && up > props.beatMs * 1500L || now - firstNewsUs > 3_000_000) {
             ready = true;
+            readied.complete(true);
             RingLog.say("newsstand " + props.name + " ready, revision " + revision + ", " + rack.all().size() + " replicas");
             renew();
         }
