--- a/newsstand/src/main/java/martenloom/newsstand/Newsstand.java
+++ b/newsstand/src/main/java/martenloom/newsstand/Newsstand.java
@@ -29,7 +29,7 @@
     private static final long RENEW_US = 400_000;
     private static final long SAMPLE_US = 100_000;
     private static final long REPORT_US = 250_000;
-    private static final long STALE_US = 1_500_000;
+    private static final long STALE_US = 1_200_000;
     private static final long SILENCE_US = 1_400_000;
 
     private final Props props;
@@ -46,6 +46,7 @@
     private Optional<Links.Dial> home = Optional.empty();
     private String homeIp = "";
     private long homeSinceUs;
+    private long homePickedUs;
     private long seq;
     private long edition = -1;
     private long revision;
@@ -147,6 +148,7 @@
         }
         homeIp = l.get(0);
         homeSinceUs = now;
+        homePickedUs = now;
         synced = false;
         home = Optional.of(new Links.Dial(loop, Props.address("home", homeIp + ":" + props.portLow), 150_000, x -> {
             x.send(new Rec.Out(Rows.RESYNC).bytes());
@@ -224,7 +226,7 @@
             if (firstNewsUs == 0 && edition > 0) {
                 firstNewsUs = now;
             }
-        } else if (now - homeSinceUs > STALE_US && cores.size() > 1) {
+        } else if (now - homePickedUs > 800_000 && cores.size() > 1) {
             leaveHome("stale by " + stale / 1000 + " ms");
             return;
         }
@@ -267,6 +269,7 @@
             revision = rev;
         }
         edition = ed;
+        RingLog.note("setup edition " + ed + " revision " + rev + " from home " + homeIp);
         floor.onEvacuated(Set.copyOf(ev), Clocks.nowUs());
     }
 
--- a/pantry/src/main/java/martenloom/pantry/chain/ChainCore.java
+++ b/pantry/src/main/java/martenloom/pantry/chain/ChainCore.java
@@ -137,6 +137,7 @@
     private long topN;
     private long quietUntil;
     private long heardUs;
+    private long toldUs;
     private long viewSinceUs;
     private long pulseN;
     private long pulseAckN;
@@ -202,7 +203,7 @@
 
     /** Time since this member last knew that a majority held together. */
     public long staleUs(long t) {
-        return t - (mode == Mode.HEADING ? pulseAckUs : heardUs);
+        return t - (mode == Mode.HEADING ? pulseAckUs : toldUs);
     }
 
     /** When the newest pulse that came back was sent: until then at least, no other view had been agreed. */
@@ -216,6 +217,12 @@
         return l;
     }
 
+    /** Word from the head of a view: the only thing that makes this member's knowledge fresh. */
+    private void told() {
+        heardUs = now;
+        toldUs = now;
+    }
+
     // ---- one function for every change of state
 
     private void become(Mode m) {
@@ -563,7 +570,7 @@
             return;
         }
         var s = CoreState.of(sb);
-        heardUs = now;
+        told();
         if (led.accepted.equals(b) && led.state.edition >= s.edition && mode == Mode.FOLLOWING) {
             follow(b, ch, ls, s);
             return;
@@ -670,7 +677,7 @@
         if (mode == Mode.IDLE) {
             become(Mode.FOLLOWING);
         }
-        heardUs = now;
+        told();
         view = b;
         chainSeen = ch;
         headSeen = ch.get(0);
@@ -746,7 +753,7 @@
         headSeen = ch.get(0);
         chainSeen = ch;
         topN = Math.max(topN, b.n);
-        heardUs = now;
+        told();
         if (ed > committed.edition) {
             send(from, new Rec.Out(PULL).i64(committed.edition));
         }
--- a/pantry/src/test/java/martenloom/pantry/chain/ChainStormTest.java
+++ b/pantry/src/test/java/martenloom/pantry/chain/ChainStormTest.java
@@ -4,6 +4,7 @@
 
 import java.util.*;
 import martenloom.pantry.state.*;
+import org.junit.jupiter.api.*;
 import org.junit.jupiter.params.*;
 import org.junit.jupiter.params.provider.*;
 
@@ -186,6 +187,24 @@
         }
     }
 
+    @Test
+    void aMemberCutOffKnowsThatItIsStale() {
+        var w = new World(99);
+        for (var i = 0; i < 8000 && !w.grown(); i++) {
+            w.step();
+        }
+        var n = w.nodes.values().stream().filter(x -> !x.core.get().heading()).findFirst().get();
+        for (var x : w.nodes.keySet()) {
+            w.cut.add(n.ip + ">" + x);
+            w.cut.add(x + ">" + n.ip);
+        }
+        var t0 = w.now;
+        while (w.now < t0 + 6_000_000) {
+            w.step();
+            assertTrue(n.core.get().staleUs(w.now) > w.now - t0 - 500_000, "bidding in vain is not news");
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24})
     void whatWasAcknowledgedStays(long seed) {
