--- a/newsstand/src/main/java/martenloom/newsstand/floor/Floor.java
+++ b/newsstand/src/main/java/martenloom/newsstand/floor/Floor.java
@@ -20,6 +20,8 @@
  */
 public final class Floor implements Requester.Floor, Leg.Owner {
     private static final int INBOX = 1024;
+    private static final int LARGE = 1000;
+    private static final double AFFINITY_US = 15_000;
 
     private final Eventloop loop;
     private final Props props;
@@ -151,7 +153,7 @@
         var now = Clocks.nowUs();
         counters.errands++;
         if (table.revision == 0) {
-            r.whole(Requester.plain(503, "0.5"), new byte[0]);
+            r.whole(Requester.plain(503, "1.0"), new byte[0]);
             return;
         }
         var q = h.two.indexOf('?');
@@ -258,15 +260,14 @@
     }
 
     private Pick best(List<Rack.Slot> slots, RouteTable.Service svc, Errand e, String region, long now) {
-        var top = svc.engine && e.sharedTokens() >= 1000 ? firstChoice(slots, e, region) : Optional.<Rack.Slot>empty();
         var best = Optional.<Rack.Slot>empty();
         var cost = Double.MAX_VALUE;
+        var bonus = svc.engine && e.sizes.size() > 1 ? topOf(slots, e, region) : Optional.<Rack.Slot>empty();
         for (var s : slots) {
             if (!s.region.equals(region) || !usable(s, svc, e, now)) {
                 continue;
             }
-            var spilled = !region.equals(props.region);
-            var c = rack.predict(s, svc, e, !spilled && top.isPresent() && top.get() == s, now);
+            var c = rack.predict(s, svc, e, false, now) - (bonus.isPresent() && bonus.get() == s ? AFFINITY_US : 0);
             if (c < cost) {
                 cost = c;
                 best = Optional.of(s);
@@ -275,13 +276,17 @@
         return new Pick(best, cost);
     }
 
-    /** The replica that a large shared part belongs to, the same at every edge of the region. */
-    private static Optional<Rack.Slot> firstChoice(List<Rack.Slot> slots, Errand e, String region) {
+    private static int weight(Errand e, Rack.Slot s) {
+        return mix(e.parts.get(e.parts.size() - 2).hashCode() * 31 + s.row.id.hashCode());
+    }
+
+    /** The replica of a region that the shared parts of a prompt belong to, the same at every edge. */
+    private static Optional<Rack.Slot> topOf(List<Rack.Slot> slots, Errand e, String region) {
         var best = Optional.<Rack.Slot>empty();
         var top = Integer.MIN_VALUE;
         for (var s : slots) {
             if (s.region.equals(region) && !s.row.draining && !s.row.silent) {
-                var h = mix(e.parts.get(0).hashCode() * 31 + s.row.id.hashCode());
+                var h = weight(e, s);
                 if (h > top) {
                     top = h;
                     best = Optional.of(s);
@@ -291,6 +296,35 @@
         return best;
     }
 
+    /**
+     * Large shared parts belong to one replica of all allowed regions, the same at every edge, so that each is read
+     * once: the first in that order that is usable and has room is taken. Reports in force keep a share away as ever.
+     */
+    private Optional<Rack.Slot> keeper(List<Rack.Slot> slots, RouteTable.Service svc, Errand e, double room, List<String> keptAway, long now) {
+        var l = new ArrayList<Rack.Slot>();
+        for (var s : slots) {
+            if (e.route.allows(s.region) && !s.row.draining && !s.row.silent) {
+                l.add(s);
+            }
+        }
+        l.sort(Comparator.comparingInt((Rack.Slot s) -> weight(e, s)).reversed());
+        for (var i = 0; i < Math.min(3, l.size()); i++) {
+            var s = l.get(i);
+            if (!usable(s, svc, e, now) || rack.predict(s, svc, e, i == 0, now) > room) {
+                continue;
+            }
+            var away = !s.region.equals(props.region);
+            var k = s.region + "/" + svc.model;
+            if (away && e.sent == 0 && !keptAway.contains(k) && reports.select(k, now)) {
+                keptAway.add(k);
+            }
+            if (!away || !keptAway.contains(k)) {
+                return Optional.of(s);
+            }
+        }
+        return Optional.empty();
+    }
+
     private static int mix(int x) {
         x ^= x >>> 16;
         x *= 0x7feb352d;
@@ -320,6 +354,12 @@
         var room = e.route.aimUs * 0.7 - (now - e.arrivedUs);
         var fallback = new Pick(Optional.empty(), Double.MAX_VALUE);
         var keptAway = new ArrayList<String>();
+        if (svc.engine && e.sharedTokens() >= LARGE) {
+            var k = keeper(slots, svc, e, room, keptAway, now);
+            if (k.isPresent()) {
+                return chosen(new Pick(k, 0), keptAway, !k.get().region.equals(props.region));
+            }
+        }
         var home = regions(slots, e);
         for (var g : home) {
             var away = !g.equals(props.region);
@@ -327,8 +367,12 @@
             if (p.slot.isEmpty()) {
                 continue;
             }
-            if (away && e.sent == 0 && svc.engine && reports.select(g + "/" + svc.model, now)) {
-                keptAway.add(g + "/" + svc.model);
+            var k = g + "/" + svc.model;
+            if (away && keptAway.contains(k)) {
+                continue;
+            }
+            if (away && e.sent == 0 && svc.engine && reports.select(k, now)) {
+                keptAway.add(k);
                 continue;
             }
             if (p.costUs < room && (!away || home.contains(props.region))) {
--- a/pantry/src/main/java/martenloom/pantry/chain/ChainCore.java
+++ b/pantry/src/main/java/martenloom/pantry/chain/ChainCore.java
@@ -136,6 +136,7 @@
     private Bid bid = new Bid(Ballot.ZERO, 0);
     private long topN;
     private long quietUntil;
+    private long bids;
     private long heardUs;
     private long toldUs;
     private long viewSinceUs;
@@ -163,8 +164,8 @@
         led = disk.orElse(new Ledger(Ballot.ZERO, Ballot.ZERO, CoreState.founded(List.of())));
         committed = CoreState.founded(led.state.roster);
         topN = led.promised.n;
-        heardUs = now;
-        quietUntil = now + 400_000;
+        heardUs = now - SILENT_US;
+        quietUntil = now + 300_000;
     }
 
     // ---- what others may look at
@@ -301,9 +302,8 @@
     }
 
     private void tickWait() {
-        if (storing.isEmpty() && now >= quietUntil && now - heardUs > SILENT_US + rank() * RANK_US && led.state.roster.contains(me)) {
-            startBid();
-        } else if (led.state.edition == 0 && led.promised.n == 0 && now >= quietUntil + rank() * RANK_US && storing.isEmpty() && led.state.roster.contains(me)) {
+        if (storing.isEmpty() && now >= quietUntil + (bids == 0 ? rank() * RANK_US : 0) && now - heardUs > SILENT_US + rank() * RANK_US && led.state.roster.contains(me)) {
+            bids++;
             startBid();
         }
     }
