--- a/galley/src/main/java/martenloom/galley/log/RingLog.java
+++ b/galley/src/main/java/martenloom/galley/log/RingLog.java
@@ -22,7 +22,7 @@
     }
 
     /** With -Dmartenloom.chatty=true every note is also printed as it is made. */
-    private static final boolean CHATTY = Boolean.getBoolean("martenloom.chatty");
+    public static final boolean CHATTY = Boolean.getBoolean("martenloom.chatty");
 
     public static synchronized void note(String s) {
         if (CHATTY) {
--- a/newsstand/src/main/java/martenloom/newsstand/Newsstand.java
+++ b/newsstand/src/main/java/martenloom/newsstand/Newsstand.java
@@ -365,6 +365,11 @@
 
     private void sample() {
         turn++;
+        if (RingLog.CHATTY && turn % 5 == 0) {
+            var now = Clocks.nowUs();
+            rack.all().stream().filter(s -> s.mine > 0).forEach(s -> RingLog.note(String.format("slot %s %s mine %d others %d unread %d/%d rate %.1f", s.row.id, s.row.hall, s.mine,
+                s.othersInHand(now), s.unread, s.othersUnread(now), s.rate)));
+        }
         if (turn % 5 == 0) {
             dialSiblings();
         }
