--- a/newsstand/src/main/java/martenloom/newsstand/floor/Floor.java
+++ b/newsstand/src/main/java/martenloom/newsstand/floor/Floor.java
@@ -295,7 +295,7 @@
         }
         if (!s.warm(now) && svc.warmPerS > 0) {
             var most = (int) Math.floor((svc.warmPerS * props.bounds.warmOverage + props.bounds.warmSlack) / edges);
-            if (s.coldSends(now) >= most) {
+            if (s.coldSends(now) + s.opening() >= most) {
                 return false;
             }
         }
@@ -356,9 +356,11 @@
             }
         }
         l.sort(Comparator.comparingInt((Rack.Slot s) -> weight(e, s)).reversed());
+        var least = l.stream().filter(s -> usable(s, svc, e, now)).mapToInt(s -> s.mine + s.othersInHand(now)).min().orElse(0);
         for (var i = 0; i < Math.min(3, l.size()); i++) {
             var s = l.get(i);
-            if (!usable(s, svc, e, now) || rack.predict(s, svc, e, i == 0, now) > room) {
+            var in = s.mine + s.othersInHand(now);
+            if (!usable(s, svc, e, now) || in > 12 + least * 2 || rack.predict(s, svc, e, i == 0, now) > room) {
                 continue;
             }
             var away = !s.region.equals(props.region);
@@ -457,6 +459,7 @@
         var slot = s.get();
         var l = new Leg(e, slot, slot.unread(e, false), this);
         l.aheadTokens = slot.unread + slot.othersUnread(now);
+        l.sharedKnown = e.sizes.size() < 2 || slot.has(e.parts.get(e.parts.size() - 2));
         e.leg = Optional.of(l);
         e.become(e.state() == Errand.State.STREAMING ? Errand.State.STREAMING : Errand.State.RUNNING);
         slot.mine++;
@@ -510,11 +513,10 @@
         }
         l.firstUs = Clocks.nowUs();
         l.slot.unread -= l.unread;
-        var read = l.unread + l.aheadTokens;
         var took = l.firstUs - l.sentUs - l.slot.rttUs - 15_000;
-        if (read > 3000 && took > 5_000) {
-            var r = Math.max(2, Math.min(400, read * 1000.0 / took));
-            l.slot.rate += (r - l.slot.rate) * 0.08;
+        if (l.sharedKnown && l.unread > 2000 && l.aheadTokens < 500 && took > 5_000) {
+            var r = Math.max(2, Math.min(400, l.unread * 1000.0 / took));
+            l.slot.rate += (r - l.slot.rate) * 0.15;
         }
     }
 
--- a/newsstand/src/main/java/martenloom/newsstand/rack/Rack.java
+++ b/newsstand/src/main/java/martenloom/newsstand/rack/Rack.java
@@ -93,6 +93,15 @@
             return coldSends.size();
         }
 
+        /** Legs that are on their way but not sent: they will count against a cold replica's limit too. */
+        public int opening() {
+            var n = 0;
+            for (var l : legs) {
+                n += l.state() == Leg.State.OPENING ? 1 : 0;
+            }
+            return n;
+        }
+
         public void sentAt(long now) {
             coldSends.addLast(now);
             while (coldSends.size() > 256) {
