--- a/kiosk/src/main/java/martenloom/kiosk/Kiosk.java
+++ b/kiosk/src/main/java/martenloom/kiosk/Kiosk.java
@@ -34,6 +34,7 @@
         var verb = args.length == 0 ? "" : args[0];
         return switch (verb) {
             case "newsstand", "pantry" -> role(verb);
+            case "rehearse" -> Rehearsal.run();
             default -> Commands.run(args);
         };
     }
--- /dev/null
+++ b/kiosk/src/main/java/martenloom/kiosk/Rehearsal.java
@@ -0,0 +1,111 @@
+package martenloom.kiosk;
+
+import io.activej.eventloop.*;
+import java.io.*;
+import java.net.*;
+import java.nio.charset.*;
+import java.nio.file.*;
+import java.util.concurrent.*;
+import martenloom.galley.clock.*;
+import martenloom.galley.props.*;
+import martenloom.newsstand.*;
+import martenloom.pantry.*;
+import martenloom.pantry.disk.*;
+
+/**
+ * Run by the build: one core daemon and one edge in this process, on loopback, through a beat, a setup and an errand, so
+ * that the classes a start needs go into a class-data archive. It never fails a build and ends by itself.
+ */
+final class Rehearsal {
+    private static final String SETUP = "{\"Revision\":1,\"Routes\":[{\"Name\":\"r\",\"Hostname\":\"h\",\"PathPrefix\":\"/a/\",\"RouteType\":\"idempotent\",\"TimeoutMs\":900,"
+        + "\"TargetLatencyMs\":500,\"Priority\":0,\"Backend\":\"s\",\"MaxAttempts\":1}],\"Backends\":[{\"Name\":\"s\",\"HealthPath\":\"/h\",\"MaxConnections\":9,\"InferenceEngine\":"
+        + "{\"Capacity\":2,\"CacheTokens\":9,\"Models\":[{\"Name\":\"m\"}]}}]}";
+
+    private Rehearsal() {}
+
+    static int run() {
+        var t = new Thread(() -> {
+            try {
+                Thread.sleep(15_000);
+            } catch (InterruptedException e) {
+                return;
+            }
+            Runtime.getRuntime().halt(0);
+        });
+        t.setDaemon(true);
+        t.start();
+        try {
+            play(20_000 + ThreadLocalRandom.current().nextInt(20_000));
+        } catch (IOException | RuntimeException e) {
+            System.out.println("rehearsal ended early: " + e);
+        }
+        return 0;
+    }
+
+    private static Props props(String ip, int port, String dir, String listen) {
+        return Props.parse("NodeName = \"n\"\nIpAddress = \"" + ip + "\"\nZone = \"z\"\nRegion = \"r\"\nInternalPortRange = [" + port + "," + (port + 9) + "]\nSeedNodes = [\"127.0.0.1:"
+            + (port + 10) + "\"]\nBootstrap = true\nDataDirectory = \"" + dir + "\"\nHeartbeatIntervalMs = 200\nServes = []\n[Zones]\nz = \"r\"\n[ListenAddresses]\n" + listen);
+    }
+
+    private static void play(int port) throws IOException {
+        var dir = Files.createTempDirectory("rehearsal");
+        var core = props("127.0.0.1", port, dir.toString(), "ControlPlane = \"127.0.0.1:" + (port + 10) + "\"\n");
+        var edge = props("127.0.0.2", port, dir.toString(), "Frontend = \"127.0.0.2:" + (port + 11) + "\"\nReadiness = \"127.0.0.2:" + (port + 12) + "\"\n");
+        var a = loop("pantry", l -> new Pantry(core, l, new Shelf.RealFolder(core.dataDir)).start());
+        var n = new CompletableFuture<Newsstand>();
+        var b = loop("newsstand", l -> {
+            var x = new Newsstand(edge, l);
+            x.start();
+            n.complete(x);
+        });
+        call("127.0.0.1", port + 10, "POST /instances/i/heartbeat", "{\"Backend\":\"s\",\"Address\":\"127.0.0.3:9\",\"Zone\":\"z\",\"State\":\"ready\",\"Sequence\":1}");
+        for (var i = 0; i < 20 && !call("127.0.0.1", port + 10, "POST /configuration/replace", SETUP).contains(" 200 "); i++) {}
+        n.join().whenReady().completeOnTimeout(true, 5, TimeUnit.SECONDS).join();
+        call("127.0.0.1", port + 10, "GET /lookup?Name=h&Region=r&Zone=z", "");
+        call("127.0.0.2", port + 12, "GET /readyz", "");
+        call("127.0.0.2", port + 11, "POST /a/x", "body");
+        a.breakEventloop();
+        b.breakEventloop();
+        try (var s = Files.walk(dir)) {
+            s.filter(Files::isRegularFile).forEach(f -> f.toFile().delete());
+        }
+    }
+
+    @FunctionalInterface
+    private interface Start {
+        void run(Eventloop l) throws IOException;
+    }
+
+    private static Eventloop loop(String name, Start s) {
+        var l = Clocks.reactor(name);
+        l.keepAlive(true);
+        var up = new CompletableFuture<Boolean>();
+        l.execute(() -> {
+            try {
+                s.run(l);
+                up.complete(true);
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+        var t = new Thread(l::run, name);
+        t.setDaemon(true);
+        t.start();
+        up.completeOnTimeout(false, 3, TimeUnit.SECONDS).join();
+        return l;
+    }
+
+    private static String call(String ip, int port, String what, String body) {
+        try (var s = new Socket()) {
+            s.connect(new InetSocketAddress(ip, port), 2000);
+            s.setSoTimeout(3000);
+            var b = body.getBytes(StandardCharsets.UTF_8);
+            s.getOutputStream().write((what + " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 1\r\nX-Time-Remaining: 900\r\nX-Base-Revision: 0\r\nConnection: close\r\nContent-Length: " + b.length
+                + "\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1));
+            s.getOutputStream().write(b);
+            return new String(s.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        } catch (IOException e) {
+            return "";
+        }
+    }
+}
--- a/newsstand/src/main/java/martenloom/newsstand/Newsstand.java
+++ b/newsstand/src/main/java/martenloom/newsstand/Newsstand.java
@@ -123,7 +123,7 @@
             renew();
             Clocks.after(loop, 1_800_000, floor::leave);
             var g = (long) (props.bounds.graceS * 1_000_000);
-            waitOut(t0 + g - 900_000, t0 + Math.min(4_200_000, g * 6 / 10), done);
+            waitOut(t0 + g - 900_000, t0 + Math.min(5_200_000, g * 65 / 100), done);
         });
         try {
             done.await((long) (props.bounds.graceS * 1000) - 500, TimeUnit.MILLISECONDS);
@@ -249,6 +249,11 @@
                 return;
             }
             l.get().send(renewal());
+            var net = props.ip.substring(0, props.ip.lastIndexOf('.') + 1);
+            if (!homeIp.startsWith(net) && now - homePickedUs > 6_000_000 && cores.stream().anyMatch(c -> c.startsWith(net) && avoid.getOrDefault(c, 0L) < now)) {
+                home.ifPresent(Links.Dial::stop);
+                pickHome();
+            }
         } else if (now - homeSinceUs > 700_000) {
             leaveHome("not reached");
         }
--- a/newsstand/src/main/java/martenloom/newsstand/floor/Floor.java
+++ b/newsstand/src/main/java/martenloom/newsstand/floor/Floor.java
@@ -34,6 +34,7 @@
     private RouteTable table = RouteTable.EMPTY;
     private Set<String> evacuated = Set.of();
     private boolean leaving;
+    private final long startUs = Clocks.nowUs();
     private int edges = 1;
     private int ticket = new Random().nextInt(1 << 20);
     public final Counters counters = new Counters();
@@ -154,7 +155,7 @@
         var now = Clocks.nowUs();
         counters.errands++;
         if (table.revision == 0) {
-            r.whole(Requester.plain(503, "1.0"), new byte[0]);
+            r.whole(Requester.plain(503, String.format(Locale.ROOT, "%.2f", Math.max(0.4, 2 - (now - startUs) / 1e6))), new byte[0]);
             return;
         }
         var q = h.two.indexOf('?');
--- a/pantry/src/main/java/martenloom/pantry/Pantry.java
+++ b/pantry/src/main/java/martenloom/pantry/Pantry.java
@@ -30,6 +30,7 @@
  * nowhere else.
  */
 public final class Pantry implements Links.Handler {
+    private static final String MEMO = "replicas";
     private static final long TICK_US = 50_000;
     private static final long FLOOD_US = 100_000;
     private static final long DIGEST_US = 500_000;
@@ -47,6 +48,8 @@
     private final Map<Long, BiConsumer<Integer, String>> asked = new HashMap<>();
     private final Map<Long, Runnable> remote = new HashMap<>();
     private final long startUs = Clocks.nowUs();
+    private final boolean restored;
+    private int memoDigest;
     private long errands;
     private int turn;
 
@@ -65,6 +68,9 @@
         chain.onAway(shelf.awayUs());
         book = new FleetBook(p.beatMs * 1000L);
         duties = new DutyDesk(chain, this::askHere);
+        var known = shelf.note(MEMO).map(b -> book.remember(b, Clocks.nowUs(), p.beatMs * 2000L)).orElse(0);
+        restored = known > 0;
+        RingLog.note("replicas remembered: " + known);
     }
 
     private boolean founder() {
@@ -146,6 +152,11 @@
     }
 
     private void mend() {
+        var dg = book.edgeDigest();
+        if (dg != memoDigest) {
+            memoDigest = dg;
+            shelf.noteLater(MEMO, book.memo(Clocks.nowUs()));
+        }
         var b = book.digests();
         var up = dials.values().stream().filter(d -> d.link().isPresent()).toList();
         if (!up.isEmpty()) {
@@ -297,7 +308,7 @@
 
     private byte[] news(long now, long stamp, String region) {
         var s = chain.committed();
-        var o = new Rec.Out(Rows.NEWS).i64(stamp).i64(now - startUs).i64(chain.staleUs(now)).i64(s.edition).i32(book.edgeDigest());
+        var o = new Rec.Out(Rows.NEWS).i64(stamp).i64(now - startUs + (restored ? 10_000_000 : 0)).i64(chain.staleUs(now)).i64(s.edition).i32(book.edgeDigest());
         o.texts(cores());
         o.list(book.members(now), (w, e) -> e.write(w, now));
         return o.flag(s.book.jobs.values().stream().anyMatch(j -> j.state.live() && j.region.equals(region))).bytes();
--- a/pantry/src/main/java/martenloom/pantry/chain/ChainCore.java
+++ b/pantry/src/main/java/martenloom/pantry/chain/ChainCore.java
@@ -33,6 +33,7 @@
     private static final long CONTENT_US = 600_000;
     private static final long RANK_US = 250_000;
     private static final long GATHER_US = 200_000;
+    private static final long ASK_AGAIN_US = 150_000;
     private static final long BID_US = 1_200_000;
     private static final long SICK_DISK_US = 800_000;
     private static final long RESEND_US = 400_000;
@@ -101,6 +102,7 @@
     private static final class Bid {
         final Ballot b;
         final long startUs;
+        long askedUs;
         long majorityUs;
         final Map<String, Voice> yes = new TreeMap<>();
         final Map<String, Long> learners = new TreeMap<>();
@@ -170,7 +172,7 @@
         topN = led.promised.n;
         clockSinceUs = now;
         heardUs = now - SILENT_US;
-        quietUntil = now + 300_000;
+        quietUntil = now + 150_000;
     }
 
     // ---- what others may look at
@@ -403,8 +405,10 @@
     }
 
     private void askRoster(List<String> roster) {
+        var again = now - bid.askedUs > ASK_AGAIN_US;
+        bid.askedUs = again || bid.askedUs == 0 ? now : bid.askedUs;
         for (var m : roster) {
-            if (bid.asked.add(m)) {
+            if (bid.asked.add(m) || again && !m.equals(me) && !bid.yes.containsKey(m) && !bid.learners.containsKey(m)) {
                 var o = new Rec.Out(PREPARE);
                 bid.b.write(o);
                 led.accepted.write(o);
@@ -439,17 +443,23 @@
             return;
         }
         heardUs = now;
+        if (b.equals(led.promised)) {
+            promise(from, b, acc, ed);
+            return;
+        }
         become(Mode.IDLE);
-        store(new Ledger(b, led.accepted, led.state), () -> {
-            var o = new Rec.Out(PROMISE);
-            b.write(o);
-            o.u8(1);
-            led.accepted.write(o);
-            o.i64(led.state.edition);
-            var c = led.accepted.compareTo(acc);
-            var newer = c > 0 || c == 0 && led.state.edition > ed;
-            send(from, o.blob(newer ? led.state.bytes() : new byte[0]));
-        });
+        store(new Ledger(b, led.accepted, led.state), () -> promise(from, b, acc, ed));
+    }
+
+    private void promise(String to, Ballot b, Ballot acc, long ed) {
+        var o = new Rec.Out(PROMISE);
+        b.write(o);
+        o.u8(1);
+        led.accepted.write(o);
+        o.i64(led.state.edition);
+        var c = led.accepted.compareTo(acc);
+        var newer = c > 0 || c == 0 && led.state.edition > ed;
+        send(to, o.blob(newer ? led.state.bytes() : new byte[0]));
     }
 
     /** A member that hears its head well gives no promise to another: one that cannot hear must not upset the rest. */
--- a/pantry/src/main/java/martenloom/pantry/desk/ControlDesk.java
+++ b/pantry/src/main/java/martenloom/pantry/desk/ControlDesk.java
@@ -261,7 +261,7 @@
         }
         var b = new StringBuilder("{\"Addresses\":[");
         near.stream().limit(MOST_ADDRESSES).forEach(e -> b.append(b.charAt(b.length() - 1) == '[' ? "" : ",").append('"').append(e.front).append('"'));
-        var ttl = Math.min(props.bounds.ttlMaxS, 1.5);
+        var ttl = Math.min(props.bounds.ttlMaxS, 4.0);
         return plain(200, b.append("],\"TtlS\":").append(ttl).append('}').toString());
     }
 }
--- a/pantry/src/main/java/martenloom/pantry/disk/Shelf.java
+++ b/pantry/src/main/java/martenloom/pantry/disk/Shelf.java
@@ -98,15 +98,36 @@
         return c.getValue() == sum ? Optional.of(b) : Optional.empty();
     }
 
-    /** Keeps a version, on the caller's thread. */
-    public synchronized void keep(byte[] b) {
-        var v = version + 1;
-        var name = PREFIX + String.format("%016x", v);
+    private static byte[] framed(byte[] b) {
         var bb = ByteBuffer.allocate(b.length + HEAD).putInt(b.length).putLong(0).putLong(System.currentTimeMillis()).put(b);
         var c = new CRC32();
         c.update(bb.array(), 12, b.length + 8);
         bb.putLong(4, c.getValue());
-        f.writeSynced(name + ".aside", bb.array());
+        return bb.array();
+    }
+
+    /** Keeps a note that may be lost, under a fixed name; it is tried once, behind whatever the shelf has to do. */
+    public void noteLater(String name, byte[] b) {
+        hand.execute(() -> {
+            try {
+                f.writeSynced(name + ".aside", framed(b));
+                f.rename(name + ".aside", name);
+                f.syncFolder();
+            } catch (RuntimeException e) {
+                RingLog.note("shelf: note " + name + " is not kept: " + e.getMessage());
+            }
+        });
+    }
+
+    public Optional<byte[]> note(String name) {
+        return f.names().contains(name) ? whole(f.read(name)).map(b -> Arrays.copyOfRange(b, HEAD, b.length)) : Optional.empty();
+    }
+
+    /** Keeps a version, on the caller's thread. */
+    public synchronized void keep(byte[] b) {
+        var v = version + 1;
+        var name = PREFIX + String.format("%016x", v);
+        f.writeSynced(name + ".aside", framed(b));
         f.rename(name + ".aside", name);
         f.syncFolder();
         version = v;
--- a/pantry/src/test/java/martenloom/pantry/disk/ShelfTest.java
+++ b/pantry/src/test/java/martenloom/pantry/disk/ShelfTest.java
@@ -85,6 +85,21 @@
         assertArrayEquals(b("late"), new Shelf(f).load().get());
     }
 
+    @Test
+    void aNoteIsKeptBesideTheLedgerAndATornOneIsNone() throws Exception {
+        var f = new StandIn();
+        var s = new Shelf(f);
+        s.keep(b("one"));
+        var done = new java.util.concurrent.CountDownLatch(1);
+        s.noteLater("replicas", b("who"));
+        s.keepLater(() -> b("two"), done::countDown);
+        assertTrue(done.await(10, java.util.concurrent.TimeUnit.SECONDS));
+        assertArrayEquals(b("who"), new Shelf(f).note("replicas").get());
+        assertArrayEquals(b("two"), new Shelf(f).load().get());
+        f.now.put("replicas", new byte[] {1, 2, 3});
+        assertTrue(new Shelf(f).note("replicas").isEmpty());
+    }
+
     @Test
     void aRealFolderKeepsOneFileAVersion(@TempDir Path dir) {
         var s = new Shelf(new Shelf.RealFolder(dir.resolve("a").toString()));
