--- a/galley/src/main/java/martenloom/galley/props/Props.java
+++ b/galley/src/main/java/martenloom/galley/props/Props.java
@@ -18,7 +18,7 @@
     public final String region;
     public final int portLow;
     public final int portHigh;
-    public final List<String> seeds;
+    public volatile List<String> seeds;
     public final boolean bootstrap;
     public final boolean quorumMember;
     public final String dataDir;
@@ -29,7 +29,7 @@
     public final int maxFds;
     public final int memoryMb;
     public final int tolerateMachines;
-    public final Bounds bounds;
+    public volatile Bounds bounds;
 
     /** The figures of the rules, as the settings file gives them. */
     public static final class Bounds {
@@ -121,6 +121,12 @@
         return new Props(c);
     }
 
+    /** Takes over from a newly read file what may change while a daemon runs: the seeds and the bounds. */
+    public void adopt(Props p) {
+        seeds = p.seeds;
+        bounds = p.bounds;
+    }
+
     public String need(String k) {
         var v = listen.getOrDefault(k, "");
         if (v.isEmpty()) {
--- a/kiosk/src/main/java/martenloom/kiosk/Kiosk.java
+++ b/kiosk/src/main/java/martenloom/kiosk/Kiosk.java
@@ -4,6 +4,7 @@
 import java.io.*;
 import java.nio.file.*;
 import java.util.*;
+import java.util.concurrent.atomic.*;
 import martenloom.galley.clock.*;
 import martenloom.galley.fault.*;
 import martenloom.galley.log.*;
@@ -43,7 +44,7 @@
         var p = Props.load(Optional.ofNullable(System.getenv("MARTENLOOM_NODE_FILE")).orElse(""));
         var loop = Clocks.reactor(verb);
         loop.keepAlive(true);
-        ignoreHangup(p);
+        loop.execute(() -> watchSettings(p, loop));
         try {
             if (verb.equals("newsstand")) {
                 newsstand(p, loop);
@@ -88,15 +89,35 @@
         }
     }
 
-    /** SIGHUP means that the settings file has changed: it is read and checked again, and a bad one is passed over. */
-    private static void ignoreHangup(Props p) {
-        sun.misc.Signal.handle(new sun.misc.Signal("HUP"), s -> {
-            try {
-                Props.load(System.getenv("MARTENLOOM_NODE_FILE"));
-                RingLog.note("settings read again");
-            } catch (Fault f) {
-                RingLog.wrong("settings changed and are not usable: " + f.getMessage());
-            }
-        });
+    /**
+     * SIGHUP means that the settings file has changed; it may also change without a signal, so its text is looked at every
+     * two seconds. A changed file is checked and its seeds and bounds are taken over; a bad one is passed over.
+     */
+    private static void watchSettings(Props p, Eventloop loop) {
+        var path = Path.of(System.getenv("MARTENLOOM_NODE_FILE"));
+        var last = new AtomicReference<>(text(path));
+        sun.misc.Signal.handle(new sun.misc.Signal("HUP"), s -> loop.execute(() -> reread(p, path, last)));
+        Clocks.every(loop, 2_000_000, () -> reread(p, path, last));
+    }
+
+    private static String text(Path path) {
+        try {
+            return Files.readString(path);
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    private static void reread(Props p, Path path, AtomicReference<String> last) {
+        var t = text(path);
+        if (t.isEmpty() || t.equals(last.getAndSet(t))) {
+            return;
+        }
+        try {
+            p.adopt(Props.parse(t));
+            RingLog.note("settings read again");
+        } catch (Fault f) {
+            RingLog.wrong("settings changed and are not usable: " + f.getMessage());
+        }
     }
 }
--- a/newsstand/src/main/java/martenloom/newsstand/Newsstand.java
+++ b/newsstand/src/main/java/martenloom/newsstand/Newsstand.java
@@ -146,6 +146,7 @@
 
     private void pickHome() {
         var now = Clocks.nowUs();
+        props.seeds.forEach(s -> cores.add(s.substring(0, s.lastIndexOf(':'))));
         var l = new ArrayList<>(cores);
         var net = props.ip.substring(0, props.ip.lastIndexOf('.') + 1);
         l.sort(Comparator.<String>comparingLong(c -> avoid.getOrDefault(c, 0L) > now ? 1 : 0)
@@ -370,6 +371,9 @@
 
     private void sample() {
         turn++;
+        if (RingLog.CHATTY && turn % 50 == 0) {
+            RingLog.note("overload " + query("overload").replace('\n', ';') + " " + query("counters"));
+        }
         if (RingLog.CHATTY && turn % 5 == 0) {
             var now = Clocks.nowUs();
             rack.all().stream().filter(s -> s.mine > 0).forEach(s -> RingLog.note(String.format("slot %s %s mine %d others %d unread %d/%d rate %.1f", s.row.id, s.row.hall, s.mine,
@@ -533,7 +537,7 @@
             }
             case "overload" -> floor.reports.states().forEach((k, s) -> {
                 floor.reports.tick(s, now);
-                b.append(String.format("%s %s share %.2f considered %d selected %d spilled %d held %d stale %d", k, s.phase, s.share, s.considered, s.selected, s.spilled, s.held, s.stale));
+                b.append(String.format("%s %s share %.2f considered %d selected %d spilled %d held %d refused %d stale %d", k, s.phase, s.share, s.considered, s.selected, s.spilled, s.held, s.refused, s.stale));
                 s.report.ifPresent(r -> b.append(String.format(" reporter %s sequence %d.%d valid %d ms algorithm %s percent %d", r.reporter(), r.seq().grant(), r.seq().counter(),
                     Math.max(0, s.untilUs - now) / 1000, r.algorithm(), r.percent())));
                 b.append('\n');
--- a/newsstand/src/main/java/martenloom/newsstand/floor/Errand.java
+++ b/newsstand/src/main/java/martenloom/newsstand/floor/Errand.java
@@ -48,6 +48,8 @@
     public Optional<Leg> leg = Optional.empty();
     /** 0 for an interactive errand; a deferred job's urgency and one more otherwise. */
     public int deferred;
+    /** The states of overload whose share this errand fell into when it was last weighed. */
+    public List<String> keptAway = List.of();
     private State state = State.WAITING;
 
     public Errand(Head h, byte[] b, RouteTable.Route r, String service, Sink s, long now) {
--- a/newsstand/src/main/java/martenloom/newsstand/floor/Floor.java
+++ b/newsstand/src/main/java/martenloom/newsstand/floor/Floor.java
@@ -436,7 +436,10 @@
         if (fallback.slot.isPresent() && fallback.costUs < Math.min(e.route.aimUs * 1.5, (e.deadlineUs - now) * 0.6)) {
             return chosen(fallback, keptAway, !fallback.slot.get().region.equals(props.region));
         }
-        keptAway.forEach(k -> reports.at(k).held++);
+        if (e.keptAway.isEmpty()) {
+            keptAway.forEach(k -> reports.at(k).held++);
+        }
+        e.keptAway = keptAway;
         return Optional.empty();
     }
 
@@ -684,6 +687,7 @@
         }
         finish(e);
         counters.refused++;
+        e.keptAway.forEach(k -> reports.at(k).refused++);
         e.sink.whole(Requester.plain(503, String.format(Locale.ROOT, "%.2f", waitS * (0.75 + Math.floorMod(ticket += 7, 100) / 200.0))), new byte[0]);
     }
 
--- a/newsstand/src/main/java/martenloom/newsstand/floor/Leg.java
+++ b/newsstand/src/main/java/martenloom/newsstand/floor/Leg.java
@@ -50,6 +50,7 @@
     private boolean stream;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream(256);
     private byte[] pend = NONE;
+    private long after = -1;
 
     public Leg(Errand e, Rack.Slot s, int unread, Owner o) {
         errand = e;
@@ -114,6 +115,7 @@
         }
         if (!errand.lastEvent.isEmpty()) {
             h.set("Last-Event-Id", errand.lastEvent);
+            after = number(errand.lastEvent);
         }
         if (errand.body.length > 0 || errand.head.has("Content-Length") || errand.head.has("Transfer-Encoding")) {
             h.set("Content-Length", String.valueOf(errand.body.length));
@@ -155,7 +157,38 @@
         var end = events(all);
         pend = end == 0 ? all : Arrays.copyOfRange(all, end, all.length);
         if (end > 0) {
-            owner.onEvents(this, Arrays.copyOf(all, end), lastId(all, end));
+            var fresh = fresh(all, end);
+            if (fresh.length > 0) {
+                owner.onEvents(this, fresh, lastId(fresh, fresh.length));
+            }
+        }
+    }
+
+    /** On a stream that goes on: the events behind the last one passed on, should the replica send some again. */
+    private byte[] fresh(byte[] b, int end) {
+        if (after < 0) {
+            return Arrays.copyOf(b, end);
+        }
+        var at = 0;
+        while (at < end) {
+            var s = new String(b, at, end - at, StandardCharsets.ISO_8859_1);
+            var n = s.indexOf("\n\n");
+            var one = n < 0 ? s : s.substring(0, n + 2);
+            var id = number(lastId(one.getBytes(StandardCharsets.ISO_8859_1), one.length()));
+            if (id > after || id < 0) {
+                after = -1;
+                break;
+            }
+            at += one.length();
+        }
+        return Arrays.copyOfRange(b, at, end);
+    }
+
+    private static long number(String s) {
+        try {
+            return s.isEmpty() ? -1 : Long.parseLong(s);
+        } catch (NumberFormatException e) {
+            return -1;
         }
     }
 
--- a/pantry/src/main/java/martenloom/pantry/Pantry.java
+++ b/pantry/src/main/java/martenloom/pantry/Pantry.java
@@ -162,6 +162,7 @@
         if (!up.isEmpty()) {
             up.get(turn++ % up.size()).send(b);
         }
+        seedIps().forEach(this::dial);
         var beat = new Rec.Out(Rows.HELLO).text(props.ip).text(props.region).bytes();
         dials.values().forEach(d -> d.send(beat));
     }
