--- a/kiosk/src/test/java/martenloom/kiosk/town/StandIn.java
+++ b/kiosk/src/test/java/martenloom/kiosk/town/StandIn.java
@@ -16,6 +16,10 @@
     public final String hall;
     public final String address;
     public volatile Mode mode = Mode.WELL;
+    /** Only for measuring: how long a run takes, with as many places as the beats say. */
+    public volatile int workMs;
+    public final LongAdder busyMs = new LongAdder();
+    private final Semaphore places = new Semaphore(8, true);
     public final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
     public final Map<String, String> heads = new ConcurrentHashMap<>();
     public final AtomicInteger seq = new AtomicInteger();
@@ -90,6 +94,9 @@
         }
         runs.computeIfAbsent(a, k -> new AtomicInteger()).incrementAndGet();
         heads.put(a, start + " " + f + " " + new String(body, StandardCharsets.UTF_8));
+        if (workMs > 0) {
+            work();
+        }
         if (mode == Mode.RESET) {
             s.setSoLinger(true, 0);
             return false;
@@ -115,6 +122,18 @@
         return true;
     }
 
+    private void work() {
+        places.acquireUninterruptibly();
+        try {
+            Thread.sleep(workMs);
+            busyMs.add(workMs);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            places.release();
+        }
+    }
+
     private boolean stream(Socket s, OutputStream out, String a, int from) throws IOException {
         out.write(("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + a + "\r\nX-Server-Seal: seal-" + id + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").getBytes());
         for (var i = from + 1; i <= 8; i++) {
--- a/newsstand/src/main/java/martenloom/newsstand/floor/Floor.java
+++ b/newsstand/src/main/java/martenloom/newsstand/floor/Floor.java
@@ -21,6 +21,8 @@
 public final class Floor implements Requester.Floor, Leg.Owner {
     private static final int INBOX = 1024;
     private static final int LARGE = 1000;
+    private static final int LARGE_KIND = 2000;
+    private static final double CROWD = 0.4;
     private static final double AFFINITY_US = 15_000;
 
     private final Eventloop loop;
@@ -172,6 +174,7 @@
         var e = new Errand(h, body, route.get(), route.get().service(ticket += 61), r, now);
         r.errand = Optional.of(e);
         purse.errand(e.service, now);
+        rack.weigh(e);
         if (e.deadlineUs <= now + 1000) {
             refuse(e, 0.1);
             return;
@@ -313,7 +316,7 @@
         var cost = Double.MAX_VALUE;
         var bonus = svc.engine && e.sizes.size() > 1 ? topOf(slots, e, region) : Optional.<Rack.Slot>empty();
         for (var s : slots) {
-            if (!s.region.equals(region) || !usable(s, svc, e, now)) {
+            if (!s.region.equals(region) || !usable(s, svc, e, now) || crowded(s, svc, e, now)) {
                 continue;
             }
             var c = rack.predict(s, svc, e, false, now) - (bonus.isPresent() && bonus.get() == s ? AFFINITY_US : 0);
@@ -325,6 +328,14 @@
         return new Pick(best, cost);
     }
 
+    /**
+     * Reading a large prompt slows every stream of its replica, so kinds of large prompts stay off replicas that are
+     * well filled. The measure is the kind's usual size: the largest of a kind are not kept out before the others.
+     */
+    private boolean crowded(Rack.Slot s, RouteTable.Service svc, Errand e, long now) {
+        return svc.engine && rack.usual(e.route) >= LARGE_KIND && s.mine + s.othersInHand(now) > s.row.capacity * CROWD;
+    }
+
     private static int weight(Errand e, Rack.Slot s) {
         return mix(e.parts.get(e.parts.size() - 2).hashCode() * 31 + s.row.id.hashCode());
     }
@@ -361,7 +372,7 @@
         for (var i = 0; i < Math.min(3, l.size()); i++) {
             var s = l.get(i);
             var in = s.mine + s.othersInHand(now);
-            if (!usable(s, svc, e, now) || in > 12 + least * 2 || rack.predict(s, svc, e, i == 0, now) > room) {
+            if (!usable(s, svc, e, now) || crowded(s, svc, e, now) || in > 12 + least * 2 || rack.predict(s, svc, e, i == 0, now) > room) {
                 continue;
             }
             var away = !s.region.equals(props.region);
@@ -463,7 +474,7 @@
         var slot = s.get();
         var l = new Leg(e, slot, slot.unread(e, false), this);
         l.aheadTokens = slot.unread + slot.othersUnread(now);
-        l.sharedKnown = e.sizes.size() < 2 || slot.has(e.parts.get(e.parts.size() - 2));
+        l.ownTokens = e.sizes.isEmpty() ? e.promptTokens : slot.has(e.parts.get(e.parts.size() - 1)) ? 0 : e.sizes.get(e.sizes.size() - 1);
         e.leg = Optional.of(l);
         e.become(e.state() == Errand.State.STREAMING ? Errand.State.STREAMING : Errand.State.RUNNING);
         slot.mine++;
@@ -518,9 +529,8 @@
         l.firstUs = Clocks.nowUs();
         l.slot.unread -= l.unread;
         var took = l.firstUs - l.sentUs - l.slot.rttUs - 15_000;
-        if (l.sharedKnown && l.unread > 2000 && l.aheadTokens < 500 && took > 5_000) {
-            var r = Math.max(2, Math.min(400, l.unread * 1000.0 / took));
-            l.slot.rate += (r - l.slot.rate) * 0.15;
+        if (l.ownTokens > 1500 && l.aheadTokens < 3000 && took > 5_000) {
+            rack.learnRate(l.slot, Math.min(400, l.ownTokens * 1000.0 / took));
         }
     }
 
--- a/newsstand/src/main/java/martenloom/newsstand/floor/Leg.java
+++ b/newsstand/src/main/java/martenloom/newsstand/floor/Leg.java
@@ -39,7 +39,7 @@
     private final Owner owner;
     public final int unread;
     public int aheadTokens;
-    public boolean sharedKnown;
+    public int ownTokens;
     public long sentUs;
     public long firstUs;
     public long startUs;
--- a/newsstand/src/main/java/martenloom/newsstand/rack/Rack.java
+++ b/newsstand/src/main/java/martenloom/newsstand/rack/Rack.java
@@ -16,6 +16,7 @@
  */
 public final class Rack {
     private static final double FIRST_RATE = 25;
+    private static final int PIECE = 4000;
     private static final long OTHERS_US = 1_200_000;
 
     public static final class Other {
@@ -151,6 +152,29 @@
         props = p;
     }
 
+    private final Map<String, Double> rates = new HashMap<>();
+    private final Map<String, Double> usual = new HashMap<>();
+
+    /**
+     * Takes a sample of tokens read a millisecond. Only a prompt's own part is counted, for others may have brought the
+     * shared ones, so a sample errs low: it pulls up faster than down.
+     */
+    public void learnRate(Slot s, double r) {
+        s.rate += (r - s.rate) * (r > s.rate ? 0.2 : 0.03);
+        var v = rates.getOrDefault(s.row.service, FIRST_RATE);
+        rates.put(s.row.service, v + (r - v) * (r > v ? 0.1 : 0.015));
+    }
+
+    /** The usual size of a route's prompts, in tokens. */
+    public double usual(RouteTable.Route r) {
+        return usual.getOrDefault(r.name, 0.0);
+    }
+
+    public void weigh(Errand e) {
+        var u = usual.getOrDefault(e.route.name, (double) e.promptTokens);
+        usual.put(e.route.name, u + (e.promptTokens - u) * 0.05);
+    }
+
     public Collection<Slot> all() {
         return slots.values();
     }
@@ -172,6 +196,7 @@
             }
             s = new Slot(r);
             s.region = props.regionOf(r.hall);
+            s.rate = rates.getOrDefault(r.service, FIRST_RATE);
             s.heardUs = Clocks.nowUs();
             slots.put(r.id, s);
             byService.computeIfAbsent(r.service, k -> new ArrayList<>()).add(s);
@@ -210,8 +235,10 @@
             var wait = in < cap ? 0 : (in - cap + 1.0) / cap * s.workUs;
             return s.rttUs + s.workUs + wait + in * s.workUs * 0.05;
         }
-        var ahead = (s.unread + s.othersUnread(now)) * (e.route.rank == 0 ? 0.5 : 1);
-        var t = s.rttUs + 20_000 + (ahead + s.unread(e, assumeShared)) / s.rate * 1000 + in * 700.0;
+        var wait = s.unread + s.othersUnread(now);
+        var ahead = e.route.rank == 0 ? Math.min(wait, PIECE) + wait * 0.15 : wait;
+        var read = Math.min(s.unread(e, assumeShared), Math.max(2 * usual(e.route), PIECE));
+        var t = s.rttUs + 20_000 + (ahead + read) / s.rate * 1000 + in * 700.0;
         return in < cap ? t : t + (in - cap + 1) * 15_000.0;
     }
 }
