--- a/newsstand/src/main/java/martenloom/newsstand/floor/Floor.java
+++ b/newsstand/src/main/java/martenloom/newsstand/floor/Floor.java
@@ -22,7 +22,7 @@
     private static final int INBOX = 1024;
     private static final int LARGE = 1000;
     private static final int LARGE_KIND = 2000;
-    private static final double CROWD = 0.4;
+    private static final double CROWD = 0.5;
     private static final double AFFINITY_US = 15_000;
 
     private final Eventloop loop;
@@ -372,7 +372,7 @@
         for (var i = 0; i < Math.min(3, l.size()); i++) {
             var s = l.get(i);
             var in = s.mine + s.othersInHand(now);
-            if (!usable(s, svc, e, now) || crowded(s, svc, e, now) || in > 12 + least * 2 || rack.predict(s, svc, e, i == 0, now) > room) {
+            if (!usable(s, svc, e, now) || crowded(s, svc, e, now) || in > 16 + least * 2 || rack.predict(s, svc, e, i == 0, now) > room) {
                 continue;
             }
             var away = !s.region.equals(props.region);
