--- a/kiosk/src/test/java/martenloom/kiosk/CoreTest.java
+++ b/kiosk/src/test/java/martenloom/kiosk/CoreTest.java
@@ -103,6 +103,16 @@
             }
             assertEquals(200, t.errand(0, "/safe/x", "n1", "", "").status);
             assertEquals(200, t.errand(1, "/safe/x", "n2", "", "").status);
+            t.mute(t.replicas.get(0));
+            t.kill(t.edge(0));
+            t.kill(t.edge(1));
+            for (var i = 0; i < 3; i++) {
+                t.startCore(i, false);
+            }
+            t.startEdge(0);
+            t.awaitReady(0);
+            assertTrue(t.ask(t.edge(0), "counters").contains("edges 2"), "shares are divided by the most edges ever known");
+            assertEquals(200, t.errand(0, "/safe/x", "n3", "", "").status, "a replica is remembered without a new beat");
         }
     }
 
--- a/newsstand/src/main/java/martenloom/newsstand/Newsstand.java
+++ b/newsstand/src/main/java/martenloom/newsstand/Newsstand.java
@@ -267,6 +267,7 @@
         var stale = in.i64();
         var ed = in.i64();
         var digest = in.i32();
+        most = Math.max(most, in.i32());
         cores.addAll(in.texts());
         var es = in.list(x -> Rows.Edge.read(x, now));
         es.forEach(e -> edges.merge(e.ip, e, (a, b) -> b.newer(a) || b.life == a.life ? b : a));
--- a/pantry/src/main/java/martenloom/pantry/Pantry.java
+++ b/pantry/src/main/java/martenloom/pantry/Pantry.java
@@ -50,6 +50,7 @@
     private final long startUs = Clocks.nowUs();
     private final boolean restored;
     private int memoDigest;
+    private int mostEdges;
     private long errands;
     private int turn;
 
@@ -68,7 +69,9 @@
         chain.onAway(shelf.awayUs());
         book = new FleetBook(p.beatMs * 1000L);
         duties = new DutyDesk(chain, this::askHere);
-        var known = shelf.note(MEMO).map(b -> book.remember(b, Clocks.nowUs(), p.beatMs * 2000L)).orElse(0);
+        var memo = shelf.note(MEMO).map(b -> new Rec.In(b, false));
+        mostEdges = memo.map(Rec.In::i32).orElse(0);
+        var known = memo.map(in -> book.remember(in, Clocks.nowUs(), p.beatMs * 2000L)).orElse(0);
         restored = known > 0;
         RingLog.note("replicas remembered: " + known);
     }
@@ -119,7 +122,7 @@
             return;
         }
         var to = Props.address("sibling", ip + ":" + props.portLow);
-        dials.put(ip, new Links.Dial(loop, to, 200_000, l -> l.send(new Rec.Out(Rows.HELLO).text(props.ip).text(props.region).bytes()), this));
+        dials.put(ip, new Links.Dial(loop, to, 200_000, l -> l.send(new Rec.Out(Rows.HELLO).text(props.ip).text(props.region).i32(mostEdges).bytes()), this));
     }
 
     // ---- time
@@ -152,10 +155,11 @@
     }
 
     private void mend() {
-        var dg = book.edgeDigest();
+        mostEdges = Math.max(mostEdges, book.members(Clocks.nowUs()).size());
+        var dg = book.edgeDigest() * 31 + mostEdges;
         if (dg != memoDigest) {
             memoDigest = dg;
-            shelf.noteLater(MEMO, book.memo(Clocks.nowUs()));
+            shelf.noteLater(MEMO, book.memo(mostEdges, Clocks.nowUs()));
         }
         var b = book.digests();
         var up = dials.values().stream().filter(d -> d.link().isPresent()).toList();
@@ -163,7 +167,7 @@
             up.get(turn++ % up.size()).send(b);
         }
         seedIps().forEach(this::dial);
-        var beat = new Rec.Out(Rows.HELLO).text(props.ip).text(props.region).bytes();
+        var beat = new Rec.Out(Rows.HELLO).text(props.ip).text(props.region).i32(mostEdges).bytes();
         dials.values().forEach(d -> d.send(beat));
     }
 
@@ -249,6 +253,7 @@
             case Rows.HELLO -> {
                 l.peer = in.text();
                 regions.put(l.peer, in.text());
+                mostEdges = Math.max(mostEdges, in.i32());
                 l.send(new Rec.Out(Rows.HEARD).bytes());
                 dial(l.peer);
             }
@@ -309,7 +314,7 @@
 
     private byte[] news(long now, long stamp, String region) {
         var s = chain.committed();
-        var o = new Rec.Out(Rows.NEWS).i64(stamp).i64(now - startUs + (restored ? 10_000_000 : 0)).i64(chain.staleUs(now)).i64(s.edition).i32(book.edgeDigest());
+        var o = new Rec.Out(Rows.NEWS).i64(stamp).i64(now - startUs + (restored ? 10_000_000 : 0)).i64(chain.staleUs(now)).i64(s.edition).i32(book.edgeDigest()).i32(mostEdges);
         o.texts(cores());
         o.list(book.members(now), (w, e) -> e.write(w, now));
         return o.flag(s.book.jobs.values().stream().anyMatch(j -> j.state.live() && j.region.equals(region))).bytes();
--- a/pantry/src/main/java/martenloom/pantry/registry/FleetBook.java
+++ b/pantry/src/main/java/martenloom/pantry/registry/FleetBook.java
@@ -189,17 +189,17 @@
         return new Rec.Out(Rows.REPLICAS).flag(whole).list(rs, (o, r) -> r.write(o, now)).bytes();
     }
 
-    /** The replicas as a note for the next start: who they were and whether they were leaving. */
-    public byte[] memo(long now) {
-        return new Rec.Out().list(replicas(), (o, r) -> r.write(o, now)).bytes();
+    /** A note for the next start: the most edges ever, by which shares are divided, and the replicas as they were. */
+    public byte[] memo(int mostEdges, long now) {
+        return new Rec.Out().i32(mostEdges).list(replicas(), (o, r) -> r.write(o, now)).bytes();
     }
 
     /**
      * Takes the replicas of a note. They may be gone, which a leg finds out, or cold, so they count as cold until their
      * next beat says otherwise.
      */
-    public int remember(byte[] memo, long now, long coldUs) {
-        return new Rec.In(memo, false).list(x -> {
+    public int remember(Rec.In in, long now, long coldUs) {
+        return in.list(x -> {
             var r = Rows.Replica.read(x, now);
             r.heardUs = now;
             r.silent = false;
