--- a/foreman/src/main/java/martenloom/foreman/Foreman.java
+++ b/foreman/src/main/java/martenloom/foreman/Foreman.java
@@ -4,6 +4,7 @@
 import java.net.*;
 import java.util.*;
 import martenloom.galley.fault.*;
+import martenloom.galley.fleet.*;
 import martenloom.galley.props.*;
 import martenloom.galley.record.*;
 
@@ -48,7 +49,7 @@
             s.connect(to, 2000);
             s.setSoTimeout(3000);
             var out = new DataOutputStream(s.getOutputStream());
-            var b = new Rec.Out(90).text(q).bytes();
+            var b = new Rec.Out(Rows.QUERY).text(q).bytes();
             out.writeInt(b.length);
             out.write(b);
             out.flush();
--- a/galley/src/main/java/martenloom/galley/fleet/Rows.java
+++ b/galley/src/main/java/martenloom/galley/fleet/Rows.java
@@ -25,6 +25,8 @@
     public static final int EDGE_ASK = 66;
     public static final int SAMPLE = 80;
     public static final int REPORT = 81;
+    public static final int QUERY = 90;
+    public static final int TEXT = 91;
     public static final int RANGES = 16;
 
     private Rows() {}
--- a/newsstand/src/main/java/martenloom/newsstand/Newsstand.java
+++ b/newsstand/src/main/java/martenloom/newsstand/Newsstand.java
@@ -398,8 +398,10 @@
     private byte[] sampled(boolean far) {
         var now = Clocks.nowUs();
         var l = rack.all().stream().filter(s -> !far && (s.mine > 0 || s.suspectUntilUs > now) || far && s.mine > 1 && s.region.equals(props.region)).toList();
-        return new Rec.Out(Rows.SAMPLE).text(props.ip).list(l, (o, s) ->
-            o.text(s.row.id).i32(s.mine).i32(s.unread).flag(s.suspectUntilUs > now && s.doubtful)).bytes();
+        var o = new Rec.Out(Rows.SAMPLE).text(props.ip).list(l, (w, s) ->
+            w.text(s.row.id).i32(s.mine).i32(s.unread).flag(s.suspectUntilUs > now && s.doubtful));
+        floor.places.write(o, far);
+        return o.bytes();
     }
 
     private void onSample(Rec.In in) {
@@ -417,6 +419,7 @@
             rack.slot(id).ifPresent(s -> s.others.put(ip, o));
             return id;
         });
+        floor.places.read(in);
         for (var s : rack.all()) {
             if (!seen.contains(s.row.id)) {
                 s.others.remove(ip);
@@ -515,7 +518,7 @@
             case Rows.ANSWER -> onAnswer(in);
             case Rows.SAMPLE -> onSample(in);
             case Rows.REPORT -> floor.reports.take(Overload.Report.read(in), Clocks.nowUs());
-            case 90 -> l.send(new Rec.Out(91).text(query(in.text())).bytes());
+            case Rows.QUERY -> l.send(new Rec.Out(Rows.TEXT).text(query(in.text())).bytes());
             default -> RingLog.note("link " + l.peer + ": unknown record " + in.type);
         }
     }
--- a/newsstand/src/main/java/martenloom/newsstand/floor/Floor.java
+++ b/newsstand/src/main/java/martenloom/newsstand/floor/Floor.java
@@ -29,6 +29,7 @@
     private final Props props;
     public final Rack rack;
     public final RetryPurse purse;
+    public final Places places = new Places();
     public final Overload.Receiver reports = new Overload.Receiver();
     private final Set<Requester> requesters = new LinkedHashSet<>();
     private final Map<String, Deque<Errand>> inboxes = new TreeMap<>();
@@ -336,8 +337,12 @@
         return svc.engine && rack.usual(e.route) >= LARGE_KIND && s.mine + s.othersInHand(now) > s.row.capacity * CROWD;
     }
 
+    private static String sharedPart(Errand e) {
+        return e.parts.get(e.parts.size() - 2);
+    }
+
     private static int weight(Errand e, Rack.Slot s) {
-        return mix(e.parts.get(e.parts.size() - 2).hashCode() * 31 + s.row.id.hashCode());
+        return mix(sharedPart(e).hashCode() * 31 + s.row.id.hashCode());
     }
 
     /** The replica of a region that the shared parts of a prompt belong to, the same at every edge. */
@@ -357,8 +362,8 @@
     }
 
     /**
-     * Large shared parts belong to one replica of all allowed regions, the same at every edge, so that each is read
-     * once: the first in that order that is usable and has room is taken. Reports in force keep a share away as ever.
+     * Large shared parts belong to one replica of all allowed regions, so that each is read once: the one where some
+     * edge last sent it, then those by hash, the same at every edge; the first that is usable and has room is taken. Reports in force keep a share away as ever.
      */
     private Optional<Rack.Slot> keeper(List<Rack.Slot> slots, RouteTable.Service svc, Errand e, double room, List<String> keptAway, long now) {
         var l = new ArrayList<Rack.Slot>();
@@ -368,6 +373,7 @@
             }
         }
         l.sort(Comparator.comparingInt((Rack.Slot s) -> weight(e, s)).reversed());
+        places.keeper(sharedPart(e)).flatMap(rack::slot).filter(l::remove).ifPresent(s -> l.add(0, s));
         var least = l.stream().filter(s -> usable(s, svc, e, now)).mapToInt(s -> s.mine + s.othersInHand(now)).min().orElse(0);
         for (var i = 0; i < Math.min(3, l.size()); i++) {
             var s = l.get(i);
@@ -485,6 +491,9 @@
         }
         if (svc != null && svc.engine) {
             slot.keep(e, svc.cacheTokens);
+            if (e.sharedTokens() >= LARGE) {
+                places.put(sharedPart(e), slot.row.id);
+            }
         }
         l.start(loop, slot.region.equals(props.region) ? 400 : 700);
         return true;
--- a/pantry/src/main/java/martenloom/pantry/Pantry.java
+++ b/pantry/src/main/java/martenloom/pantry/Pantry.java
@@ -278,19 +278,11 @@
             case Rows.EDGE_ASK -> edgeAsk(l, in);
             case Rows.DUTY_WANT -> duties.want(in.text(), in.text(), in.i64(), l);
             case Rows.DUTY_GRANT -> passGrant(rec, in);
-            case Rec90.QUERY -> l.send(new Rec.Out(Rec90.TEXT).text(query(in.text())).bytes());
+            case Rows.QUERY -> l.send(new Rec.Out(Rows.TEXT).text(query(in.text())).bytes());
             default -> RingLog.note("link " + l.peer + ": unknown record " + t);
         }
     }
 
-    /** Types of the shell's records. */
-    public static final class Rec90 {
-        public static final int QUERY = 90;
-        public static final int TEXT = 91;
-
-        private Rec90() {}
-    }
-
     private void renew(Links.Link l, Rec.In in) {
         var now = Clocks.nowUs();
         var e = Rows.Edge.read(in, now);
--- a/pantry/src/main/java/martenloom/pantry/desk/ControlDesk.java
+++ b/pantry/src/main/java/martenloom/pantry/desk/ControlDesk.java
@@ -61,13 +61,13 @@
             case "GET lookup" -> Promise.of(lookup(q));
             case "POST configuration/replace" -> change(q, CoreState.Act.REPLACE);
             case "POST configuration/update" -> change(q, CoreState.Act.UPDATE);
-            case "GET configuration/describe" -> ask(new CoreState.Change(CoreState.Act.READ, 0, "", ""), 0);
+            case "GET configuration/describe" -> ask(new CoreState.Change(CoreState.Act.READ, 0, "", ""));
             case "POST evacuations/*/start" -> evacuation(seg[2], CoreState.Act.EVAC_START);
             case "POST evacuations/*/finish" -> evacuation(seg[2], CoreState.Act.EVAC_FINISH);
             case "POST instances/*/heartbeat" -> body(q).then(b -> Promise.of(beat(seg[2], b)));
             case "POST instances/*/deregister" -> Promise.of(deregister(seg[2]));
             case "POST jobs/*/submit" -> body(q).then(b -> submit(seg[2], b));
-            case "GET jobs" -> ask(new CoreState.Change(CoreState.Act.JOB_LIST, 0, "", ""), 0);
+            case "GET jobs" -> ask(new CoreState.Change(CoreState.Act.JOB_LIST, 0, "", ""));
             case "GET jobs/*/describe" -> job(CoreState.Act.JOB_GET, seg[2]);
             case "GET jobs/*/result" -> job(CoreState.Act.JOB_RESULT, seg[2]);
             case "POST jobs/*/confirm" -> job(CoreState.Act.JOB_CONFIRM, seg[2]);
@@ -98,7 +98,7 @@
         } catch (NumberFormatException e) {
             return Promise.of(plain(400, "X-Base-Revision: '" + h + "' is not a number"));
         }
-        return body(q).then(b -> ask(new CoreState.Change(act, base, "", b), 0));
+        return body(q).then(b -> ask(new CoreState.Change(act, base, "", b)));
     }
 
     private Promise<HttpResponse> evacuation(String hall, CoreState.Act act) {
@@ -106,10 +106,10 @@
         if (!props.halls.containsKey(h)) {
             return Promise.of(plain(404, "zone '" + h + "' is not known"));
         }
-        return ask(new CoreState.Change(act, 0, h, ""), 0);
+        return ask(new CoreState.Change(act, 0, h, ""));
     }
 
-    private Promise<HttpResponse> ask(CoreState.Change c, int tries) {
+    private Promise<HttpResponse> ask(CoreState.Change c) {
         var p = new SettablePromise<HttpResponse>();
         ask(c, Clocks.nowUs(), p);
         return p;
@@ -129,7 +129,7 @@
     // ---- deferred jobs
 
     private Promise<HttpResponse> job(CoreState.Act act, String id) {
-        return ask(new CoreState.Change(act, 0, URLDecoder.decode(id, StandardCharsets.UTF_8), ""), 0);
+        return ask(new CoreState.Change(act, 0, URLDecoder.decode(id, StandardCharsets.UTF_8), ""));
     }
 
     private Promise<HttpResponse> submit(String id, String text) {
@@ -166,7 +166,7 @@
         }
         var o = new Rec.Out();
         j.write(o);
-        return ask(new CoreState.Change(CoreState.Act.JOB_SUBMIT, 0, j.id, Base64.getEncoder().encodeToString(o.bytes())), 0);
+        return ask(new CoreState.Change(CoreState.Act.JOB_SUBMIT, 0, j.id, Base64.getEncoder().encodeToString(o.bytes())));
     }
 
     private static void read(Job j, com.typesafe.config.Config c) {
--- a/pantry/src/main/java/martenloom/pantry/state/CoreState.java
+++ b/pantry/src/main/java/martenloom/pantry/state/CoreState.java
@@ -166,6 +166,8 @@
             return new Outcome(200, "", Optional.of(withSetup(s, d)));
         } catch (Fault f) {
             return new Outcome(400, f.getMessage(), Optional.empty());
+        } catch (RuntimeException e) {
+            return new Outcome(400, "the setup cannot be read: " + e.getClass().getSimpleName(), Optional.empty());
         }
     }
 
