--- a/kiosk/src/test/java/martenloom/kiosk/JobsTest.java
+++ b/kiosk/src/test/java/martenloom/kiosk/JobsTest.java
@@ -139,6 +139,66 @@
         }
     }
 
+    @Test
+    void aCutCoreTakesNothingAndLosesNothing() {
+        try (var t = town(dir, 87)) {
+            t.replicas.forEach(r -> r.mode = StandIn.Mode.SILENT);
+            assertEquals(200, submit(t, 0, "cut1", job("/r/stream", 90000, "p")));
+            assertTrue(await(t, 0, "cut1", "running").contains("running at"));
+            t.kill(t.core(1));
+            t.kill(t.core(2));
+            assertEquals(503, submit(t, 0, "cut2", job("/r/stream", 90000, "q")), "one of three acknowledges nothing");
+            assertTrue(t.askUntil(t.edge(0), "jobs", "held false").contains("held false"));
+            assertTrue(t.askUntil(t.edge(3), "jobs", "held false").contains("held false"));
+            t.replicas.forEach(r -> r.mode = StandIn.Mode.WELL);
+            t.startCore(1, false);
+            t.startCore(2, false);
+            assertTrue(await(t, 0, "cut1", "done").contains("done"), t.ask(t.core(0), "jobs") + t.ask(t.edge(0), "jobs") + t.ask(t.edge(3), "jobs"));
+            var r = t.operator(1, "GET /jobs/cut1/result", "", "");
+            assertEquals("1,2,3,4,5,6,7,8,", r.body.replaceAll("(?s)id: (\\d+)\ndata: piece \\d+\n\n", "$1,"));
+        }
+    }
+
+    @Test
+    void aHolderLostBeforeOrAfterARunChangesNoOutcome() {
+        try (var t = town(dir, 88)) {
+            assertEquals(200, submit(t, 0, "after", job("/once/x", 90000, "p")));
+            assertTrue(await(t, 0, "after", "done").contains("done"));
+            t.replicas.forEach(r -> r.mode = StandIn.Mode.NOT_RUN);
+            assertEquals(200, submit(t, 0, "before", job("/once/x", 90000, "q")));
+            var l = t.askUntil(t.core(0), "leases", "jobs/north");
+            t.kill(l.replaceAll("(?s).*jobs/north grant \\d+ holder ([0-9.]+)#.*", "$1"));
+            t.replicas.forEach(r -> r.mode = StandIn.Mode.WELL);
+            var d = await(t, 0, "before", "done");
+            assertTrue(d.contains("\"done\"") || d.contains("\"uncertain\""), d);
+            assertTrue(runs(t, "before") <= 1 && runs(t, "after") == 1);
+            assertTrue(await(t, 1, "after", "done").contains("done"));
+            assertEquals("done by plain for job-after-1-1", t.operator(0, "GET /jobs/after/result", "", "").body);
+        }
+    }
+
+    @Test
+    void jobsOutliveARestartOfEverything() {
+        try (var t = town(dir, 89)) {
+            t.replicas.forEach(r -> r.mode = StandIn.Mode.SILENT);
+            assertEquals(200, submit(t, 0, "e1", job("/r/stream", 90000, "p")));
+            assertTrue(await(t, 0, "e1", "running").contains("running at"));
+            for (var i = 0; i < 3; i++) {
+                t.kill(t.core(i));
+            }
+            t.kill(t.edge(0));
+            t.kill(t.edge(3));
+            t.replicas.forEach(r -> r.mode = StandIn.Mode.WELL);
+            for (var i = 0; i < 3; i++) {
+                t.startCore(i, false);
+            }
+            t.startEdge(0);
+            t.startEdge(3);
+            assertTrue(await(t, 0, "e1", "done").contains("done"), t.ask(t.core(0), "jobs"));
+            assertEquals("1,2,3,4,5,6,7,8,", t.operator(0, "GET /jobs/e1/result", "", "").body.replaceAll("(?s)id: (\\d+)\ndata: piece \\d+\n\n", "$1,"));
+        }
+    }
+
     @Test
     void aDueTimePassesInTheOpen() {
         try (var t = town(dir, 86)) {
--- a/newsstand/src/main/java/martenloom/newsstand/jobs/JobRunner.java
+++ b/newsstand/src/main/java/martenloom/newsstand/jobs/JobRunner.java
@@ -150,6 +150,7 @@
     private final String me;
     private final Map<String, Run> runs = new TreeMap<>();
     private final Set<String> starting = new TreeSet<>();
+    private final Set<String> ran = new TreeSet<>();
     private final Map<String, String> waits = new TreeMap<>();
     private List<Line> lines = List.of();
     private long grant;
@@ -174,6 +175,7 @@
     public void onGrant(long g) {
         if (g != grant) {
             dropAll("a new grant");
+            ran.clear();
         }
         grant = g;
     }
@@ -209,11 +211,21 @@
                 letGo(r, "it is no longer live");
             }
         }
+        lines.stream().filter(l -> l.running && l.fence == grant && !runs.containsKey(l.id) && !starting.contains(l.id)).forEach(this::disown);
         lines.stream().filter(l -> !runs.containsKey(l.id) && !starting.contains(l.id) && (!l.running || l.fence < grant))
             .sorted(Comparator.comparingInt((Line l) -> -Job.urgency(l.leftUs, l.wholeUs)).thenComparing(Line::prefix).thenComparingLong(Line::leftUs))
             .forEach(this::consider);
     }
 
+    /**
+     * The core has a job as running under our own grant, and it is not in our hands: it was let go when the lease ran out
+     * for a while, or the receipt of its start was lost. Nobody else can have it, so we say how far it came.
+     */
+    private void disown(Line l) {
+        starting.add(l.id);
+        core.ask("JOB_BACK", l.id, grant, body(new Rec.Out().u8(ran.contains(l.id) ? 1 : 0).text("it was let go")), (s, t) -> later.accept(600_000L, () -> starting.remove(l.id)));
+    }
+
     private void consider(Line l) {
         var u = Job.urgency(l.leftUs, l.wholeUs);
         if (runs.size() + starting.size() >= MOST) {
@@ -237,6 +249,7 @@
     private void run(Job j, long g, int urgency, long leftUs) {
         var r = new Run(j, g);
         runs.put(j.id, r);
+        ran.add(j.id);
         started++;
         var e = floor.startJob(head(j, g, leftUs), j.body, r, urgency, j.lastEvent);
         r.errand = e;
