--- a/galley/src/main/java/martenloom/galley/fleet/Rows.java
+++ b/galley/src/main/java/martenloom/galley/fleet/Rows.java
@@ -24,6 +24,8 @@
     public static final int JOBS = 65;
     public static final int EDGE_ASK = 66;
     public static final int SAMPLE = 80;
+    public static final int HOME_SUM = 82;
+    public static final int WHOLE_SUM = 83;
     public static final int REPORT = 81;
     public static final int QUERY = 90;
     public static final int TEXT = 91;
--- a/galley/src/main/java/martenloom/galley/record/Rec.java
+++ b/galley/src/main/java/martenloom/galley/record/Rec.java
@@ -48,6 +48,11 @@
             return step(() -> out.writeInt(v));
         }
 
+        /** A count that fits in 16 bits, or the most that does. */
+        public Out i16(int v) {
+            return step(() -> out.writeShort(Math.max(0, Math.min(Short.MAX_VALUE, v))));
+        }
+
         public Out i64(long v) {
             return step(() -> out.writeLong(v));
         }
@@ -71,6 +76,11 @@
             });
         }
 
+        /** Bytes that were written by another Out, as they are. */
+        public Out raw(byte[] v) {
+            return step(() -> out.write(v));
+        }
+
         public <T> Out list(Collection<T> l, Put<T> p) {
             i32(l.size());
             l.forEach(t -> p.put(this, t));
@@ -118,6 +128,10 @@
             return step(in::readInt);
         }
 
+        public int i16() {
+            return step(() -> (int) in.readShort());
+        }
+
         public long i64() {
             return step(in::readLong);
         }
--- a/menu/src/main/java/martenloom/menu/language/MenuText.java
+++ b/menu/src/main/java/martenloom/menu/language/MenuText.java
@@ -1,6 +1,7 @@
 package martenloom.menu.language;
 
 import java.util.*;
+import martenloom.autoscaler.*;
 import martenloom.galley.fault.*;
 import martenloom.menu.route.*;
 
@@ -13,6 +14,7 @@
  *   service huvo11a health /healthz connections 370 warm 3000ms 32.0/s engine 64 400054 6 m
  *   route r-a3 host ficu95.example under /lohu930/ streaming within 8000ms aim 800ms pause 600ms rank 1 tries 2
  *     resumable affinity to huvo11a 90 wuno96b 10 only catania palermo      (on one line)
+ *   scaling m window 60 delay 900 step 50 utilization 70 target 0 floor 2 ceiling 9
  *
  * A fault gives line, column and reason. The core writes this text from an accepted setup; edges compile it.
  */
@@ -35,6 +37,13 @@
             .append("ms idle ").append(l.idleMs).append("ms\n");
         t.services.values().forEach(s -> service(b, s));
         t.routes.forEach(r -> route(b, r));
+        new TreeMap<>(t.scaling).forEach((m, p) -> {
+            b.append("scaling ").append(q(m));
+            for (var f : ScaleProps.Field.values()) {
+                b.append(' ').append(f.word).append(' ').append(p.get(f));
+            }
+            b.append('\n');
+        });
         return b.toString();
     }
 
@@ -77,6 +86,7 @@
         private RouteTable.Limits limits = RouteTable.Limits.DEFAULT;
         private final Map<String, RouteTable.Service> services = new LinkedHashMap<>();
         private final List<RouteTable.Route> routes = new ArrayList<>();
+        private final Map<String, ScaleProps> scaling = new TreeMap<>();
         private final Set<String> places = new HashSet<>();
         private final List<String> words = new ArrayList<>();
         private final List<Integer> columns = new ArrayList<>();
@@ -132,7 +142,8 @@
                 case "limits" -> limits();
                 case "service" -> service();
                 case "route" -> route();
-                default -> throw bad(0, "'" + words.get(0) + "' is no statement (revision, limits, service, route)");
+                case "scaling" -> scaling();
+                default -> throw bad(0, "'" + words.get(0) + "' is no statement (revision, limits, service, route, scaling)");
             }
             if (at < words.size()) {
                 throw bad(at, "'" + words.get(at) + "' is not expected here");
@@ -255,6 +266,27 @@
             routes.add(r);
         }
 
+        private void scaling() {
+            var m = word("the model");
+            if (services.values().stream().noneMatch(s -> s.engine && s.model.equals(m))) {
+                throw bad(at - 1, "no service has model '" + m + "'");
+            }
+            var v = new EnumMap<ScaleProps.Field, Double>(ScaleProps.Field.class);
+            while (more()) {
+                var w = word("a field");
+                var f = Arrays.stream(ScaleProps.Field.values()).filter(x -> x.word.equals(w)).findFirst().orElseThrow(() -> bad(at - 1, "'" + w + "' is no field of scaling"));
+                var n = decimal("");
+                if (n != 0 || f != ScaleProps.Field.TARGET && f != ScaleProps.Field.CEILING) {
+                    v.put(f, n);
+                }
+            }
+            try {
+                scaling.put(m, ScaleProps.DEFAULT.with(m, v));
+            } catch (Fault x) {
+                throw bad(at - 1, x.getMessage());
+            }
+        }
+
         private void shares(RouteTable.Route r) {
             var sum = 0L;
             while (more() && !ahead("only")) {
@@ -283,7 +315,7 @@
         }
 
         private RouteTable table() {
-            return new RouteTable(revision, limits, services.values(), routes);
+            return new RouteTable(revision, limits, services.values(), routes, scaling);
         }
     }
 }
--- a/menu/src/main/java/martenloom/menu/route/RouteTable.java
+++ b/menu/src/main/java/martenloom/menu/route/RouteTable.java
@@ -1,18 +1,21 @@
 package martenloom.menu.route;
 
 import java.util.*;
+import martenloom.autoscaler.*;
 
 /**
  * The immutable table that a setup compiles to: routes found by host and longest prefix, services, and the limits on
  * requesters. A table is replaced whole and never changed.
  */
 public final class RouteTable {
-    public static final RouteTable EMPTY = new RouteTable(0, Limits.DEFAULT, List.of(), List.of());
+    public static final RouteTable EMPTY = new RouteTable(0, Limits.DEFAULT, List.of(), List.of(), Map.of());
 
     public final long revision;
     public final Limits limits;
     public final Map<String, Service> services;
     public final List<Route> routes;
+    /** What is set of the scaling of models; a model that is not named has the defaults. */
+    public final Map<String, ScaleProps> scaling;
     private final Map<String, Map<String, Route>> byHost = new HashMap<>();
 
     public enum Kind { IDEMPOTENT, NON_IDEMPOTENT, STREAMING }
@@ -95,13 +98,14 @@
         }
     }
 
-    public RouteTable(long rev, Limits l, Collection<Service> ss, Collection<Route> rs) {
+    public RouteTable(long rev, Limits l, Collection<Service> ss, Collection<Route> rs, Map<String, ScaleProps> sc) {
         revision = rev;
         limits = l;
         var m = new LinkedHashMap<String, Service>();
         ss.forEach(s -> m.put(s.name, s));
         services = Collections.unmodifiableMap(m);
         routes = List.copyOf(rs);
+        scaling = Map.copyOf(sc);
         routes.forEach(r -> byHost.computeIfAbsent(r.host, h -> new HashMap<>()).put(r.prefix, r));
     }
 
--- a/menu/src/main/java/martenloom/menu/setup/Setups.java
+++ b/menu/src/main/java/martenloom/menu/setup/Setups.java
@@ -2,6 +2,7 @@
 
 import com.typesafe.config.*;
 import java.util.*;
+import martenloom.autoscaler.*;
 import martenloom.galley.fault.*;
 import martenloom.menu.language.*;
 import martenloom.menu.route.*;
@@ -13,7 +14,7 @@
  */
 public final class Setups {
     private static final ConfigParseOptions JSON = ConfigParseOptions.defaults().setSyntax(ConfigSyntax.JSON);
-    private static final List<String> NAMED = List.of("Routes", "Backends");
+    private static final List<String> NAMED = List.of("Routes", "Backends", "Autoscaling");
 
     private Setups() {}
 
@@ -124,7 +125,26 @@
         for (var r : c.hasPath("Routes") ? c.getConfigList("Routes") : List.<Config>of()) {
             rs.add(route(r, ss));
         }
-        return new RouteTable(revision(c), limits(c), ss, rs);
+        return new RouteTable(revision(c), limits(c), ss, rs, scaling(c));
+    }
+
+    /** One object for each model that is not to have the defaults; an unknown field is refused, so that no typing error passes. */
+    private static Map<String, ScaleProps> scaling(Config c) {
+        var m = new TreeMap<String, ScaleProps>();
+        for (var a : c.hasPath("Autoscaling") ? c.getConfigList("Autoscaling") : List.<Config>of()) {
+            var model = a.getString("Name");
+            var v = new EnumMap<ScaleProps.Field, Double>(ScaleProps.Field.class);
+            for (var k : a.root().keySet()) {
+                if (k.equals("Name")) {
+                    continue;
+                }
+                var f = Arrays.stream(ScaleProps.Field.values()).filter(x -> x.name.equals(k)).findFirst()
+                    .orElseThrow(() -> new ConfigException.BadValue(a.origin(), k, "model '" + model + "': no field of Autoscaling"));
+                v.put(f, a.getDouble(k));
+            }
+            m.put(model, ScaleProps.DEFAULT.with(model, v));
+        }
+        return m;
     }
 
     private static RouteTable.Limits limits(Config c) {
--- a/newsstand/src/main/java/martenloom/newsstand/Newsstand.java
+++ b/newsstand/src/main/java/martenloom/newsstand/Newsstand.java
@@ -9,6 +9,8 @@
 import java.util.*;
 import java.util.concurrent.*;
 import java.util.function.*;
+import java.util.stream.*;
+import martenloom.autoscaler.*;
 import martenloom.galley.clock.*;
 import martenloom.galley.fleet.*;
 import martenloom.galley.log.*;
@@ -21,16 +23,18 @@
 import martenloom.newsstand.jobs.*;
 import martenloom.newsstand.overload.*;
 import martenloom.newsstand.rack.*;
+import martenloom.newsstand.scaling.*;
 
 /**
  * The edge program: puts the floor on a reactor, subscribes to a home daemon of the core in its hall for setups,
- * replicas and siblings, exchanges samples with the edges of its region, and sends and takes overload reports. When the
- * core is lost, it goes on with the last good state.
+ * replicas, tells the home its part of the load and takes the sums of all, and sends and takes overload reports by the
+ * same way. When the core is lost, it goes on with the last good state.
  */
 public final class Newsstand implements Links.Handler {
     private static final long RENEW_US = 400_000;
     private static final long SAMPLE_US = 100_000;
     private static final long REPORT_US = 250_000;
+    private static final long SCALE_US = 200_000;
     private static final long STALE_US = 1_200_000;
     private static final long SILENCE_US = 1_400_000;
 
@@ -45,8 +49,9 @@
     private final long life = System.nanoTime() ^ ThreadLocalRandom.current().nextLong();
     private final Set<String> cores = new LinkedHashSet<>();
     private final Map<String, Long> avoid = new HashMap<>();
-    private final Map<String, Links.Dial> siblings = new TreeMap<>();
-    private final Map<String, Rows.Edge> edges = new TreeMap<>();
+    private final LoadView load;
+    private final ScaleRunner scaler;
+    private int edgesNow;
     private final Map<String, Overload.Reporter> reporters = new TreeMap<>();
     private final Map<String, Duty> duties = new TreeMap<>();
     private Optional<Links.Dial> home = Optional.empty();
@@ -71,10 +76,17 @@
     }
 
     public Newsstand(Props p, Eventloop loop) {
+        this(p, loop, ScaleProps.DEFAULT);
+    }
+
+    public Newsstand(Props p, Eventloop loop, ScaleProps scaling) {
         props = p;
         this.loop = loop;
         rack = new Rack(p);
         floor = new Floor(loop, p, rack);
+        load = new LoadView(rack, floor, p.ip, life);
+        scaler = new ScaleRunner(floor, p.region, scaling, (key, g, n, rest, receipt) ->
+            askCore("SCALE", key, g, Stream.concat(Stream.of(n == ScaleRunner.ALL ? "all" : String.valueOf(n)), rest.stream()).collect(Collectors.joining("\n")), receipt));
         jobs = new JobRunner(floor, this::askCore, () -> holds(jobDuty()), (us, r) -> Clocks.after(loop, us, r), p.ip);
         p.seeds.forEach(s -> cores.add(s.substring(0, s.lastIndexOf(':'))));
     }
@@ -108,6 +120,7 @@
         Clocks.every(loop, SAMPLE_US, this::sample);
         Clocks.every(loop, REPORT_US, this::report);
         Clocks.every(loop, 200_000, jobs::tick);
+        Clocks.every(loop, SCALE_US, this::scale);
         RingLog.say("newsstand " + props.name + " listens at " + props.need("Frontend"));
     }
 
@@ -160,7 +173,6 @@
         homePickedUs = now;
         synced = false;
         home = Optional.of(new Links.Dial(loop, Props.address("home", homeIp + ":" + props.portLow), 150_000, x -> {
-            x.send(new Rec.Out(Rows.RESYNC).bytes());
             x.send(renewal());
         }, this));
     }
@@ -188,7 +200,7 @@
         e.heardUs = now;
         var o = new Rec.Out(Rows.RENEW);
         e.write(o, now);
-        return o.i64(now).text(holder()).texts(wants()).bytes();
+        return o.i64(now).text(holder()).texts(wants()).texts(rack.coldIn(props.region, floor.table(), now)).bytes();
     }
 
     /** Who holds a duty is one life of an edge, so that a restarted one is a successor like any other. */
@@ -200,6 +212,16 @@
         return "jobs/" + props.region;
     }
 
+    private String scaleDuty() {
+        return "scale/" + props.region;
+    }
+
+    private void scale() {
+        var now = Clocks.nowUs();
+        var fresh = now - load.wholeUs() < SILENCE_US;
+        scaler.tick(holds(scaleDuty()) ? duties.get(scaleDuty()).grant : 0, load.whole(), fresh && load.whole().edges() * 3 >= edgesNow * 2, now);
+    }
+
     private boolean holds(String key) {
         var d = Optional.ofNullable(duties.get(key));
         return d.isPresent() && Clocks.nowUs() < d.get().untilUs;
@@ -234,6 +256,9 @@
         var w = new TreeSet<String>();
         if (ready && !leaving) {
             floor.table().services.values().stream().filter(s -> s.engine).forEach(s -> w.add(props.region + "/" + s.model));
+            if (!w.isEmpty()) {
+                w.add(scaleDuty());
+            }
             if (jobsLive || jobs.busy()) {
                 w.add(jobDuty());
             }
@@ -262,18 +287,17 @@
 
     private void onNews(Rec.In in) {
         var now = Clocks.nowUs();
-        in.i64();
+        var stamp = in.i64();
         var up = in.i64();
         var stale = in.i64();
         var ed = in.i64();
         var digest = in.i32();
         most = Math.max(most, in.i32());
+        edgesNow = in.i32();
         cores.addAll(in.texts());
-        var es = in.list(x -> Rows.Edge.read(x, now));
-        es.forEach(e -> edges.merge(e.ip, e, (a, b) -> b.newer(a) || b.life == a.life ? b : a));
-        edges.values().removeIf(e -> now - e.heardUs > 12_000_000);
-        count(now);
+        floor.onEdges(most);
         jobsLive = in.flag();
+        rack.lent(homeIp, stamp + in.i64(), in.list(x -> new Rack.Lent(x.text(), x.i32())));
         mismatches = digest == rack.digest() && ed <= edition ? 0 : mismatches + 1;
         if (mismatches > 2) {
             mismatches = 0;
@@ -291,15 +315,6 @@
         becomeReady(now, up);
     }
 
-    private void count(long now) {
-        var n = 0;
-        for (var e : edges.values()) {
-            n += now - e.heardUs < 10_000_000 ? 1 : 0;
-        }
-        most = Math.max(most, n);
-        floor.onEdges(Math.max(most, n));
-    }
-
     private void becomeReady(long now, long up) {
         if (ready || edition <= 0 || revision == 0 || firstNewsUs == 0) {
             return;
@@ -319,15 +334,23 @@
         var rev = in.i64();
         var menu = in.text();
         var ev = in.texts();
+        var placed = new TreeMap<String, ScaleRunner.Placed>();
+        in.list(x -> placed.put(x.text(), new ScaleRunner.Placed(x.i32(), x.flag(), new TreeSet<>(x.texts()))));
         if (ed <= edition || rev < revision) {
             return;
         }
         if (rev > revision) {
+            if (menu.isEmpty()) {
+                home.ifPresent(d -> d.send(new Rec.Out(Rows.RESYNC).bytes()));
+                return;
+            }
             floor.onTable(MenuText.compile(menu));
             revision = rev;
         }
         edition = ed;
         RingLog.note("setup edition " + ed + " revision " + rev + " from home " + homeIp);
+        floor.onPlaced(placed);
+        scaler.onPlaced(placed);
         floor.onEvacuated(Set.copyOf(ev), Clocks.nowUs());
     }
 
@@ -350,81 +373,12 @@
 
     // ---- siblings
 
-    private void dialSiblings() {
-        var now = Clocks.nowUs();
-        for (var e : edges.values()) {
-            if (!e.ip.equals(props.ip) && !siblings.containsKey(e.ip)) {
-                siblings.put(e.ip, new Links.Dial(loop, Props.address("sibling", e.ip + ":" + props.portLow), 300_000,
-                    l -> l.send(new Rec.Out(Rows.HELLO).text(props.ip).bytes()), this));
-            }
-        }
-        for (var ip : List.copyOf(siblings.keySet())) {
-            if (!edges.containsKey(ip)) {
-                siblings.remove(ip).stop();
-            }
-        }
-        var hello = new Rec.Out(Rows.HELLO).text(props.ip).bytes();
-        siblings.values().forEach(d -> {
-            d.check(2_000_000);
-            d.send(hello);
-        });
-    }
-
     private void sample() {
         turn++;
         if (RingLog.CHATTY && turn % 50 == 0) {
             RingLog.note("overload " + query("overload").replace('\n', ';') + " " + query("counters"));
         }
-        if (RingLog.CHATTY && turn % 5 == 0) {
-            var now = Clocks.nowUs();
-            rack.all().stream().filter(s -> s.mine > 0).forEach(s -> RingLog.note(String.format("slot %s %s mine %d others %d unread %d/%d rate %.1f", s.row.id, s.row.hall, s.mine,
-                s.othersInHand(now), s.unread, s.othersUnread(now), s.rate)));
-        }
-        if (turn % 5 == 0) {
-            dialSiblings();
-        }
-        var b = sampled(false);
-        var far = turn % 5 == 0 ? sampled(true) : new byte[0];
-        siblings.forEach((ip, d) -> {
-            var e = edges.get(ip);
-            if (e != null && e.region.equals(props.region)) {
-                d.send(b);
-            } else if (far.length > 0) {
-                d.send(far);
-            }
-        });
-    }
-
-    private byte[] sampled(boolean far) {
-        var now = Clocks.nowUs();
-        var l = rack.all().stream().filter(s -> !far && (s.mine > 0 || s.suspectUntilUs > now) || far && s.mine > 1 && s.region.equals(props.region)).toList();
-        var o = new Rec.Out(Rows.SAMPLE).text(props.ip).list(l, (w, s) ->
-            w.text(s.row.id).i32(s.mine).i32(s.unread).flag(s.suspectUntilUs > now && s.doubtful));
-        floor.places.write(o, far);
-        return o.bytes();
-    }
-
-    private void onSample(Rec.In in) {
-        var now = Clocks.nowUs();
-        var ip = in.text();
-        var seen = new HashSet<String>();
-        in.list(x -> {
-            var id = x.text();
-            var o = new Rack.Other();
-            o.inHand = x.i32();
-            o.unread = x.i32();
-            o.suspect = x.flag();
-            o.atUs = now;
-            seen.add(id);
-            rack.slot(id).ifPresent(s -> s.others.put(ip, o));
-            return id;
-        });
-        floor.places.read(in);
-        for (var s : rack.all()) {
-            if (!seen.contains(s.row.id)) {
-                s.others.remove(ip);
-            }
-        }
+        home.flatMap(Links.Dial::link).ifPresent(l -> load.part(Clocks.nowUs()).ifPresent(l::send));
     }
 
     // ---- overload reports
@@ -445,7 +399,7 @@
     private void report() {
         var now = Clocks.nowUs();
         duties.forEach((key, d) -> {
-            if (key.equals(jobDuty())) {
+            if (key.equals(jobDuty()) || key.equals(scaleDuty())) {
                 return;
             }
             if (now < d.untilUs) {
@@ -473,7 +427,7 @@
         var n = 0;
         for (var s : rack.all()) {
             var svc = t.services.get(s.row.service);
-            if (svc == null || !svc.engine || !svc.model.equals(model) || !s.region.equals(props.region) || s.row.gone || s.row.draining || s.row.silent
+            if (svc == null || !svc.engine || !svc.model.equals(model) || !s.region.equals(props.region) || s.row.gone || s.row.draining || s.row.silent || s.resting
                 || floor.evacuated().contains(s.row.hall)) {
                 continue;
             }
@@ -486,17 +440,18 @@
         return n == 0 ? 4 : sum / n / aim;
     }
 
+    /** The home passes a report on to the edges elsewhere, by their homes. */
     private void tell(Overload.Report r) {
         var o = new Rec.Out(Rows.REPORT);
         r.write(o);
-        var b = o.bytes();
         RingLog.note("report " + r);
-        siblings.forEach((ip, d) -> {
-            var e = edges.get(ip);
-            if (e != null && !e.region.equals(props.region)) {
-                d.send(b);
-            }
-        });
+        home.ifPresent(d -> d.send(o.bytes()));
+    }
+
+    private void onReport(Overload.Report r) {
+        if (!r.region().equals(props.region)) {
+            floor.reports.take(r, Clocks.nowUs());
+        }
     }
 
     // ---- records
@@ -516,8 +471,8 @@
             case Rows.DUTY_GRANT -> onGrant(in);
             case Rows.JOBS -> onJobs(in);
             case Rows.ANSWER -> onAnswer(in);
-            case Rows.SAMPLE -> onSample(in);
-            case Rows.REPORT -> floor.reports.take(Overload.Report.read(in), Clocks.nowUs());
+            case Rows.WHOLE_SUM -> load.onWhole(in, Clocks.nowUs());
+            case Rows.REPORT -> onReport(Overload.Report.read(in));
             case Rows.QUERY -> l.send(new Rec.Out(Rows.TEXT).text(query(in.text())).bytes());
             default -> RingLog.note("link " + l.peer + ": unknown record " + in.type);
         }
@@ -552,8 +507,9 @@
             case "setup" -> b.append(MenuText.write(floor.table()));
             case "home" -> b.append(homeIp).append(ready ? " ready" : " not ready").append(" edition ").append(edition).append(" revision ").append(revision).append('\n');
             case "jobs" -> b.append(jobs.text());
+            case "scaling" -> b.append(scaler.text(now));
             case "log" -> b.append(RingLog.tail(200));
-            default -> b.append("? counters overload leases replicas setup home jobs log\n");
+            default -> b.append("? counters overload leases replicas setup home jobs scaling log\n");
         }
         return b.toString();
     }
--- a/newsstand/src/main/java/martenloom/newsstand/floor/Floor.java
+++ b/newsstand/src/main/java/martenloom/newsstand/floor/Floor.java
@@ -7,11 +7,13 @@
 import martenloom.galley.fleet.*;
 import martenloom.galley.log.*;
 import martenloom.galley.props.*;
+import martenloom.galley.tally.*;
 import martenloom.menu.route.*;
 import martenloom.newsstand.budget.*;
 import martenloom.newsstand.head.*;
 import martenloom.newsstand.overload.*;
 import martenloom.newsstand.rack.*;
+import martenloom.newsstand.scaling.*;
 
 /**
  * The owner of all errands at this edge. Requesters and legs tell it events; it answers with commands: a leg to a
@@ -36,6 +38,7 @@
     private final Map<Errand, Clocks.ClockEvent> deadlines = new HashMap<>();
     private RouteTable table = RouteTable.EMPTY;
     private Set<String> evacuated = Set.of();
+    private Map<String, ScaleRunner.Placed> placed = Map.of();
     private boolean leaving;
     private final long startUs = Clocks.nowUs();
     private int edges = 1;
@@ -67,6 +70,28 @@
 
     public void onTable(RouteTable t) {
         table = t;
+        markResting();
+    }
+
+    public void onPlaced(Map<String, ScaleRunner.Placed> p) {
+        placed = p;
+        markResting();
+    }
+
+    private void markResting() {
+        rack.all().forEach(this::markResting);
+    }
+
+    private void markResting(Rack.Slot s) {
+        var svc = Optional.ofNullable(table.services.get(s.row.service)).filter(x -> x.engine);
+        var p = svc.flatMap(x -> Optional.ofNullable(placed.get(s.region + "/" + x.model)));
+        s.resting = p.isPresent() && (p.get().pinned() || p.get().resting().contains(s.row.id));
+    }
+
+    /** Whether everything that could serve this errand rests: then it may wait for one to be woken. */
+    private boolean asleep(Errand e) {
+        var l = rack.of(e.service).stream().filter(s -> e.route.allows(s.region) && !s.row.draining && !s.row.silent).toList();
+        return !l.isEmpty() && l.stream().allMatch(s -> s.resting);
     }
 
     public void onEvacuated(Set<String> halls, long now) {
@@ -121,6 +146,16 @@
         return leaving;
     }
 
+    /** Our errands in flight at models, by region and model: from acceptance to the end, each where it runs, else here. */
+    public void inFlight(Tally t) {
+        for (var e : deadlines.keySet()) {
+            var svc = table.services.get(e.service);
+            if (e.deferred == 0 && svc != null && svc.engine) {
+                t.fly(e.leg.map(l -> l.slot.region).orElse(props.region) + "/" + svc.model);
+            }
+        }
+    }
+
     // ---- events from requesters
 
     @Override
@@ -231,6 +266,9 @@
     // ---- inbox
 
     private long holdUs(Errand e) {
+        if (!placed.isEmpty() && asleep(e)) {
+            return (e.deadlineUs - e.arrivedUs) / 2;
+        }
         return Math.min(e.route.aimUs / 5, (e.deadlineUs - e.arrivedUs) / 3);
     }
 
@@ -289,18 +327,20 @@
         if (r.gone || r.draining || r.silent || r.leavesAtUs != Long.MAX_VALUE || evacuated.contains(r.hall) || e.tried.contains(r.id)) {
             return false;
         }
+        if (s.resting) {
+            return false;
+        }
         if (e.deferred > 0 && !jobRoom(s, e.route, e.deferred - 1, now)) {
             return false;
         }
-        if (now < s.suspectUntilUs || now < s.fullUntilUs || s.othersDoubt(now)) {
+        if (now < s.suspectUntilUs || now < s.fullUntilUs || s.othersDoubt(now) || s.fitness.state(now) == Fitness.State.ASIDE) {
             return false;
         }
         if (s.doubtful && s.mine > 0) {
             return false;
         }
         if (!s.warm(now) && svc.warmPerS > 0) {
-            var most = (int) Math.floor((svc.warmPerS * props.bounds.warmOverage + props.bounds.warmSlack) / edges);
-            if (s.coldSends(now) + s.opening() >= most) {
+            if (s.coldSends(now) + s.opening() >= rack.coldShare(r.id, now)) {
                 return false;
             }
         }
@@ -320,7 +360,7 @@
             if (!s.region.equals(region) || !usable(s, svc, e, now) || crowded(s, svc, e, now)) {
                 continue;
             }
-            var c = rack.predict(s, svc, e, false, now) - (bonus.isPresent() && bonus.get() == s ? AFFINITY_US : 0);
+            var c = rack.predict(s, svc, e, false, now) + s.farUs + s.fitness.costUs(now) - (bonus.isPresent() && bonus.get() == s ? AFFINITY_US : 0);
             if (c < cost) {
                 cost = c;
                 best = Optional.of(s);
@@ -350,7 +390,7 @@
         var best = Optional.<Rack.Slot>empty();
         var top = Integer.MIN_VALUE;
         for (var s : slots) {
-            if (s.region.equals(region) && !s.row.draining && !s.row.silent) {
+            if (s.region.equals(region) && !s.row.draining && !s.row.silent && !s.resting) {
                 var h = weight(e, s);
                 if (h > top) {
                     top = h;
@@ -368,7 +408,7 @@
     private Optional<Rack.Slot> keeper(List<Rack.Slot> slots, RouteTable.Service svc, Errand e, double room, List<String> keptAway, long now) {
         var l = new ArrayList<Rack.Slot>();
         for (var s : slots) {
-            if (e.route.allows(s.region) && !s.row.draining && !s.row.silent) {
+            if (e.route.allows(s.region) && !s.row.draining && !s.row.silent && !s.resting) {
                 l.add(s);
             }
         }
@@ -577,6 +617,7 @@
         if (e.done()) {
             return;
         }
+        answered(l.slot, true, Clocks.nowUs());
         finish(e);
         counters.served++;
         e.sink.event(rest);
@@ -597,7 +638,9 @@
             cutOff(e);
             return;
         }
-        var took = Clocks.nowUs() - l.sentUs;
+        var now = Clocks.nowUs();
+        var took = now - l.sentUs;
+        answered(l.slot, h.status() < 500 || h.status() == 504, now);
         if (h.status() / 100 == 2) {
             l.slot.workUs += (Math.max(1000, took - l.slot.rttUs) - l.slot.workUs) * 0.05;
         }
@@ -621,8 +664,7 @@
         var now = Clocks.nowUs();
         RingLog.note("leg of " + e.id + " at " + l.slot.row.id + " failed: " + f);
         if (f == Leg.Failure.UNSENT) {
-            l.slot.suspectUntilUs = now + 700_000;
-            l.slot.doubtful = true;
+            l.slot.hold(700_000, now);
         } else {
             e.sent++;
         }
@@ -630,6 +672,7 @@
             h.ifPresent(x -> turnedAway(l.slot, x, now));
         } else if (f != Leg.Failure.UNSENT) {
             e.mayHaveRun = true;
+            answered(l.slot, false, now);
         }
         if (e.done()) {
             return;
@@ -650,6 +693,13 @@
         }
     }
 
+    private void answered(Rack.Slot s, boolean well, long now) {
+        s.fitness.answered(well, now);
+        if (!well) {
+            rack.judge(s, s.fitness.ok(now), s.fitness.bad(now), 0, 0, now);
+        }
+    }
+
     private static void turnedAway(Rack.Slot s, Head h, long now) {
         if (h.status() == 421) {
             s.suspectUntilUs = now + 1_500_000;
@@ -793,8 +843,7 @@
         if (s.suspectUntilUs < now) {
             RingLog.note("replica " + s.row.id + " is quiet with " + s.legs.size() + " legs");
         }
-        s.suspectUntilUs = Math.max(s.suspectUntilUs, now + 500_000);
-        s.doubtful = true;
+        s.hold(500_000, now);
         for (var l : List.copyOf(s.legs)) {
             move(l, now);
         }
@@ -836,5 +885,8 @@
     /** A replica's life ended or its time runs out: what can go on elsewhere does. */
     public void onReplica(Rows.Replica r) {
         rack.take(r);
+        if (!placed.isEmpty()) {
+            rack.slot(r.id).ifPresent(this::markResting);
+        }
     }
 }
--- a/newsstand/src/main/java/martenloom/newsstand/floor/Leg.java
+++ b/newsstand/src/main/java/martenloom/newsstand/floor/Leg.java
@@ -32,6 +32,8 @@
     }
 
     private static final SocketSettings SOCKET = SocketSettings.builder().withTcpNoDelay(true).build();
+    /** What may run only once goes on a connection that was used just now, or on a new one: an old one may have been forgotten. */
+    private static final long ONCE_IDLE_US = 2_000_000;
     private static final byte[] NONE = new byte[0];
 
     public final Errand errand;
@@ -71,7 +73,7 @@
         startUs = Clocks.nowUs();
         while (!slot.idle.isEmpty()) {
             var w = slot.idle.pollFirst();
-            if (w.usable(startUs)) {
+            if (w.usable(startUs) && w.idleUs(startUs) < (errand.route.repeatable() ? slot.idleTrustUs() : Math.min(ONCE_IDLE_US, slot.idleTrustUs()))) {
                 wire = Optional.of(w);
                 send(w);
                 return;
--- a/newsstand/src/main/java/martenloom/newsstand/floor/ReplicaWire.java
+++ b/newsstand/src/main/java/martenloom/newsstand/floor/ReplicaWire.java
@@ -26,6 +26,9 @@
     private boolean lastAnswer;
     private Optional<Chunks> chunks = Optional.empty();
     private long idleUntilUs = Long.MAX_VALUE;
+    private long idleSinceUs;
+    private long wasIdleUs;
+    private boolean heard;
 
     public ReplicaWire(ITcpSocket s, Rack.Slot slot) {
         this.slot = slot;
@@ -37,7 +40,14 @@
         return state == State.IDLE && wire.isOpen() && now < idleUntilUs;
     }
 
+    /** How long it has been waiting for its next leg; 0 for a new one. */
+    public long idleUs(long now) {
+        return idleSinceUs == 0 ? 0 : now - idleSinceUs;
+    }
+
     public void send(Leg l, byte[] head, byte[] body) {
+        wasIdleUs = idleUs(Clocks.nowUs());
+        heard = false;
         leg = Optional.of(l);
         state = State.HEAD;
         skipping = false;
@@ -58,6 +68,7 @@
 
     @Override
     public void onBytes() {
+        heard = true;
         slot.heardUs = Clocks.nowUs();
         slot.quietSinceUs = 0;
         slot.doubtful = false;
@@ -190,6 +201,7 @@
         var again = !lastAnswer && skips == 0 && wire.size() == 0 && wire.isOpen() && !slot.row.gone && !slot.row.draining;
         if (again) {
             wire.hold(false);
+            idleSinceUs = Clocks.nowUs();
             slot.idle.addFirst(this);
         } else {
             close();
@@ -202,6 +214,9 @@
         if (state == State.CLOSED) {
             return;
         }
+        if (state == State.HEAD && leg.isPresent() && !heard && wasIdleUs > 0) {
+            slot.forgot(wasIdleUs);
+        }
         state = State.CLOSED;
         slot.open--;
         slot.idle.remove(this);
--- a/newsstand/src/main/java/martenloom/newsstand/rack/Places.java
+++ b/newsstand/src/main/java/martenloom/newsstand/rack/Places.java
@@ -5,7 +5,7 @@
 import martenloom.galley.record.*;
 
 /**
- * Where large shared parts of prompts were last sent, by any edge: each edge tells its siblings with its samples, so that
+ * Where large shared parts of prompts were last sent, by any edge: each edge tells its siblings, by way of the homes, so that
  * a replica that comes new does not draw parts away from those that keep them. Bounded; the oldest give way.
  */
 public final class Places {
@@ -13,24 +13,22 @@
     private static final int MOST_TOLD = 256;
 
     private final Object2ObjectLinkedOpenHashMap<String, String> at = new Object2ObjectLinkedOpenHashMap<>();
-    private final Map<String, String> near = new LinkedHashMap<>();
-    private final Map<String, String> far = new LinkedHashMap<>();
+    private final Map<String, String> untold = new LinkedHashMap<>();
 
     public Optional<String> keeper(String part) {
         return Optional.ofNullable(at.get(part));
     }
 
-    /** Our own sending, to be told to siblings. */
+    /** Our own sending, to be told to siblings by way of the home. */
     public void put(String part, String replica) {
         learn(part, replica);
-        tell(near, part, replica);
-        tell(far, part, replica);
+        if (untold.size() < MOST_TOLD) {
+            untold.put(part, replica);
+        }
     }
 
-    private static void tell(Map<String, String> m, String part, String replica) {
-        if (m.size() < MOST_TOLD) {
-            m.put(part, replica);
-        }
+    public boolean told() {
+        return untold.isEmpty();
     }
 
     private void learn(String part, String replica) {
@@ -40,11 +38,10 @@
         }
     }
 
-    /** Writes what has not been told yet, to the region's siblings or to those elsewhere. */
-    public void write(Rec.Out o, boolean elsewhere) {
-        var m = elsewhere ? far : near;
-        o.list(m.entrySet(), (w, e) -> w.text(e.getKey()).text(e.getValue()));
-        m.clear();
+    /** Writes what has not been told yet. */
+    public void write(Rec.Out o) {
+        o.list(untold.entrySet(), (w, e) -> w.text(e.getKey()).text(e.getValue()));
+        untold.clear();
     }
 
     public void read(Rec.In in) {
--- a/newsstand/src/main/java/martenloom/newsstand/rack/Rack.java
+++ b/newsstand/src/main/java/martenloom/newsstand/rack/Rack.java
@@ -5,6 +5,7 @@
 import java.util.*;
 import martenloom.galley.clock.*;
 import martenloom.galley.fleet.*;
+import martenloom.galley.log.*;
 import martenloom.galley.props.*;
 import martenloom.menu.route.*;
 import martenloom.newsstand.floor.*;
@@ -17,14 +18,13 @@
 public final class Rack {
     private static final double FIRST_RATE = 25;
     private static final int PIECE = 4000;
-    private static final long OTHERS_US = 1_200_000;
-
-    public static final class Other {
-        public int inHand;
-        public int unread;
-        public boolean suspect;
-        public long atUs;
-    }
+    private static final long STRIKE_MEMORY_US = 10_000_000;
+    private static final long STRIKE_APART_US = 500_000;
+    private static final int MOST_STRIKES = 2;
+    private static final long IDLE_LEAST_US = 200_000;
+    private static final double MOST_ASIDE = 0.4;
+    private static final double FAR_US = 6_000;
+    private static final long OTHERS_US = 1_500_000;
 
     public static final class Slot {
         public Rows.Replica row;
@@ -35,16 +35,27 @@
         public int open;
         public int mine;
         public int unread;
-        public final Map<String, Other> others = new HashMap<>();
+        private int othersInHand;
+        private int othersUnread;
+        private int othersDoubts;
+        private long othersAtUs;
         public double rate = FIRST_RATE;
         public double workUs = 30_000;
         public double rttUs = 1_000;
+        /** A little cost of this edge's own, so that edges prefer different replicas, and the same ones as before, while all have room. */
+        public double farUs;
         public long heardUs;
         public long quietSinceUs;
         public long suspectUntilUs;
         public boolean doubtful;
         public long coldFloorUs;
         public long fullUntilUs;
+        public final Fitness fitness = new Fitness();
+        /** Unloaded: it gets no new prompts and finishes what it has. */
+        public boolean resting;
+        private int strikes;
+        private long heldAtUs;
+        private long idleTrustUs = Long.MAX_VALUE / 10;
         private final ArrayDeque<Long> coldSends = new ArrayDeque<>();
         private final Object2IntLinkedOpenHashMap<String> kept = new Object2IntLinkedOpenHashMap<>();
         private long keptTokens;
@@ -54,33 +65,45 @@
             address = Props.address("Address", r.address);
         }
 
+        /** What the other edges have here, by the last sums that came; sums too old to be of use count as nothing. */
+        public void others(int inHand, int unread, int doubts, long now) {
+            othersInHand = Math.max(0, inHand);
+            othersUnread = Math.max(0, unread);
+            othersDoubts = doubts;
+            othersAtUs = now;
+        }
+
         public int othersInHand(long now) {
-            var n = 0;
-            for (var o : others.values()) {
-                if (now - o.atUs < OTHERS_US) {
-                    n += o.inHand;
-                }
-            }
-            return n;
+            return now - othersAtUs < OTHERS_US ? othersInHand : 0;
         }
 
         public int othersUnread(long now) {
-            var n = 0;
-            for (var o : others.values()) {
-                if (now - o.atUs < OTHERS_US) {
-                    n += o.unread;
-                }
-            }
-            return n;
+            return now - othersAtUs < OTHERS_US ? othersUnread : 0;
         }
 
         public boolean othersDoubt(long now) {
-            for (var o : others.values()) {
-                if (o.suspect && now - o.atUs < 600_000 && now - heardUs > 300_000) {
-                    return true;
-                }
-            }
-            return false;
+            return othersDoubts > 0 && now - othersAtUs < 700_000 && now - heardUs > 300_000;
+        }
+
+        /**
+         * Holds off a replica that could not be reached or went quiet. One that does so by turns is held off for twice as
+         * long each time, up to four times.
+         */
+        public void hold(long baseUs, long now) {
+            var since = now - heldAtUs;
+            strikes = heldAtUs == 0 || since > STRIKE_MEMORY_US ? 0 : since > STRIKE_APART_US ? Math.min(MOST_STRIKES, strikes + 1) : strikes;
+            heldAtUs = now;
+            suspectUntilUs = Math.max(suspectUntilUs, now + (baseUs << strikes));
+            doubtful = true;
+        }
+
+        /** A connection that had been idle for so long was reset when it was used again: this replica forgets sooner. */
+        public void forgot(long idleUs) {
+            idleTrustUs = Math.max(IDLE_LEAST_US, Math.min(idleTrustUs, idleUs * 6 / 10));
+        }
+
+        public long idleTrustUs() {
+            return idleTrustUs;
         }
 
         public boolean warm(long now) {
@@ -139,11 +162,52 @@
             }
         }
 
+        public long keptTokens() {
+            return keptTokens;
+        }
+
         public boolean has(String part) {
             return kept.containsKey(part);
         }
     }
 
+    /** Sends a second that a home lent at one cold replica. */
+    public record Lent(String replica, int n) {}
+
+    private record Loan(long untilUs, Map<String, Integer> n) {}
+
+    private static final long OPENING_US = 500_000;
+    private static final int MOST_COLD = 128;
+    private final Map<String, Loan> loans = new HashMap<>();
+
+    /** Takes what a home lent, in place of what it lent before, until a moment on our clock. */
+    public void lent(String home, long untilUs, Collection<Lent> l) {
+        var m = new HashMap<String, Integer>();
+        l.forEach(x -> m.put(x.replica, x.n));
+        loans.put(home, new Loan(untilUs - OPENING_US, m));
+    }
+
+    /** Sends a second that this edge may make at a cold replica; a leg chosen now may be sent up to half a second later. */
+    public int coldShare(String replica, long now) {
+        var n = 0;
+        for (var l : loans.values()) {
+            n += now < l.untilUs ? l.n.getOrDefault(replica, 0) : 0;
+        }
+        return n;
+    }
+
+    /** The cold replicas of a region, of services that bound what one may get. */
+    public List<String> coldIn(String region, RouteTable t, long now) {
+        var l = new ArrayList<String>();
+        for (var s : slots.values()) {
+            var svc = t.services.get(s.row.service);
+            if (svc != null && svc.warmPerS > 0 && s.region.equals(region) && !s.warm(now) && !s.row.draining && l.size() < MOST_COLD) {
+                l.add(s.row.id);
+            }
+        }
+        return l;
+    }
+
     private final Map<String, Slot> slots = new HashMap<>();
     private final Map<String, List<Slot>> byService = new HashMap<>();
     private final Props props;
@@ -175,6 +239,29 @@
         usual.put(e.route.name, u + (e.promptTokens - u) * 0.05);
     }
 
+    /**
+     * Puts a replica aside when the answers of all edges or those of our hall alone speak against it, but no more than a
+     * part of the replicas of its service and region, and so never all of them.
+     */
+    public void judge(Slot s, int ok, int bad, int hallOk, int hallBad, long now) {
+        if (!s.fitness.judge(ok, bad, now) && !s.fitness.judge(hallOk, hallBad, now)) {
+            return;
+        }
+        var peers = 0;
+        var aside = 0;
+        for (var x : of(s.row.service)) {
+            if (x.region.equals(s.region) && !x.row.draining && !x.row.silent) {
+                peers++;
+                aside += x.fitness.state(now) == Fitness.State.ASIDE ? 1 : 0;
+            }
+        }
+        if ((aside + 1) > peers * MOST_ASIDE) {
+            return;
+        }
+        s.fitness.putAside(now);
+        RingLog.note("replica " + s.row.id + " is put aside: " + bad + " of " + (ok + bad) + " failed, in our hall " + hallBad + " of " + (hallOk + hallBad));
+    }
+
     public Collection<Slot> all() {
         return slots.values();
     }
@@ -196,6 +283,7 @@
             }
             s = new Slot(r);
             s.region = props.regionOf(r.hall);
+            s.farUs = Math.floorMod((props.ip + r.id).hashCode() * 0x9E3779B9 >>> 8, 1000) * FAR_US / 1000;
             s.rate = rates.getOrDefault(r.service, FIRST_RATE);
             s.heardUs = Clocks.nowUs();
             slots.put(r.id, s);
--- a/pantry/src/main/java/martenloom/pantry/Pantry.java
+++ b/pantry/src/main/java/martenloom/pantry/Pantry.java
@@ -16,13 +16,16 @@
 import martenloom.galley.record.*;
 import martenloom.galley.sibling.*;
 import martenloom.galley.jobs.*;
+import martenloom.galley.tally.*;
 import martenloom.menu.language.*;
+import martenloom.menu.placement.*;
 import martenloom.menu.route.*;
 import martenloom.pantry.chain.*;
 import martenloom.pantry.desk.*;
 import martenloom.pantry.disk.*;
 import martenloom.pantry.registry.*;
 import martenloom.pantry.state.*;
+import martenloom.pantry.tally.*;
 
 /**
  * The core program: puts the chain, its disk, the registry and the desk on one reactor, and carries records between
@@ -36,6 +39,10 @@
     private static final long DIGEST_US = 500_000;
     private static final long ASK_US = 2_500_000;
     private static final long SILENCE_US = 2_000_000;
+    private static final long SUM_US = 100_000;
+    private static final int FAR_TURNS = 3;
+    private static final int QUIET_TURNS = 5;
+    private static final long WANT_US = 350_000;
 
     private final Props props;
     private final Eventloop loop;
@@ -51,6 +58,13 @@
     private final boolean restored;
     private int memoDigest;
     private int mostEdges;
+    private int mostHomes = 1;
+    private final TallyDesk tally = new TallyDesk();
+    private final WarmSlots warm;
+    private final long life = new SecureRandom().nextLong();
+    private long sums;
+    private final Map<String, Long> wanted = new HashMap<>();
+    private final Map<String, Long> menus = new HashMap<>();
     private long errands;
     private int turn;
 
@@ -68,14 +82,26 @@
         chain = new ChainCore(p.ip, new SecureRandom().nextLong(), disk, nearness(), Clocks.nowUs());
         chain.onAway(shelf.awayUs());
         book = new FleetBook(p.beatMs * 1000L);
+        chain.onSurvey(() -> placement().text());
         duties = new DutyDesk(chain, this::askHere);
-        var memo = shelf.note(MEMO).map(b -> new Rec.In(b, false));
-        mostEdges = memo.map(Rec.In::i32).orElse(0);
-        var known = memo.map(in -> book.remember(in, Clocks.nowUs(), p.beatMs * 2000L)).orElse(0);
+        var known = shelf.note(MEMO).map(this::remember).orElse(0);
+        warm = new WarmSlots(Clocks.nowUs(), kept.isEmpty() && p.bootstrap);
         restored = known > 0;
         RingLog.note("replicas remembered: " + known);
     }
 
+    private int remember(byte[] memo) {
+        try {
+            var in = new Rec.In(memo, false);
+            mostEdges = in.i32();
+            mostHomes = Math.max(1, in.i32());
+            return book.remember(in, Clocks.nowUs(), props.beatMs * 2000L);
+        } catch (Fault f) {
+            RingLog.wrong("the note of replicas is passed over: " + f.getMessage());
+            return 0;
+        }
+    }
+
     private boolean founder() {
         return seedIps().contains(props.ip);
     }
@@ -109,6 +135,7 @@
         Clocks.every(loop, TICK_US, this::tick);
         Clocks.every(loop, FLOOD_US, this::flood);
         Clocks.every(loop, DIGEST_US, this::mend);
+        Clocks.every(loop, SUM_US, this::sum);
         RingLog.say("pantry " + props.name + " ready at " + props.need("ControlPlane"));
     }
 
@@ -156,11 +183,14 @@
 
     private void mend() {
         mostEdges = Math.max(mostEdges, book.members(Clocks.nowUs()).size());
-        var dg = book.edgeDigest() * 31 + mostEdges;
+        mostHomes = Math.max(mostHomes, homesHere());
+        var dg = (book.edgeDigest() * 31 + mostEdges) * 31 + mostHomes;
         if (dg != memoDigest) {
             memoDigest = dg;
-            shelf.noteLater(MEMO, book.memo(mostEdges, Clocks.nowUs()));
+            shelf.noteLater(MEMO, book.memo(mostEdges, mostHomes, Clocks.nowUs()));
         }
+        warm.sweep(Clocks.nowUs());
+        watchExposure(Clocks.nowUs());
         var b = book.digests();
         var up = dials.values().stream().filter(d -> d.link().isPresent()).toList();
         if (!up.isEmpty()) {
@@ -171,6 +201,126 @@
         dials.values().forEach(d -> d.send(beat));
     }
 
+    /** How many core daemons of our region have made themselves known, ourselves with them. */
+    private int homesHere() {
+        return 1 + (int) regions.entrySet().stream().filter(e -> e.getValue().equals(props.region) && !e.getKey().equals(props.ip)).count();
+    }
+
+    // ---- placement
+
+    /** What is registered and would run now, those that rest by order among them. */
+    private Placement placement() {
+        var p = new Placement();
+        var ev = chain.committed().evacuated;
+        for (var r : book.replicas()) {
+            if (!r.gone && !r.draining && !r.silent && !ev.contains(r.hall)) {
+                p.put(r.service, props.regionOf(r.hall), r.id);
+            }
+        }
+        return p;
+    }
+
+    private SortedSet<Placement.Finding> exposure() {
+        var s = chain.committed();
+        var t = table(s);
+        return CoreState.rested(placement(), t, s.scales).findings(t);
+    }
+
+    private Set<Placement.Finding> exposed = Set.of();
+
+    /** The head says once what has become exposed, whoever brought it about: an order of the operator, a crash, a loss. */
+    private void watchExposure(long now) {
+        if (!chain.heading() || now - chain.headingSinceUs() < 4_000_000 || chain.committed().revision == 0) {
+            return;
+        }
+        var f = exposure();
+        f.stream().filter(x -> !exposed.contains(x)).forEach(x -> RingLog.say("exposure: " + x.text()));
+        exposed.stream().filter(x -> !f.contains(x)).forEach(x -> RingLog.note("exposure ended: " + x.text()));
+        exposed = f;
+    }
+
+    /** What an operator's order would bring, without giving it. */
+    private String would(String key, String order) {
+        var s = chain.committed();
+        var t = table(s);
+        var to = new TreeMap<>(s.scales);
+        if (order.equals("unload")) {
+            to.put(key, new CoreState.Scale(0, true, 0, Set.of()));
+        } else {
+            to.remove(key);
+        }
+        var p = placement();
+        var bad = Placement.added(CoreState.rested(p, t, s.scales), CoreState.rested(p, t, to), t);
+        return bad.isEmpty() ? "ok: nothing is stranded\n" : String.join("\n", bad.stream().map(Placement.Finding::text).toList()) + "\n";
+    }
+
+    // ---- sums of load
+
+    private void sum() {
+        var now = Clocks.nowUs();
+        sums++;
+        var quiet = sums % QUIET_TURNS == 0;
+        var own = tally.own(now);
+        sumTo(d -> props.region.equals(regions.getOrDefault(d, "")), TallyDesk.Way.REGION, own);
+        if (sums % FAR_TURNS == 0) {
+            sumTo(d -> !props.region.equals(regions.getOrDefault(d, "")), TallyDesk.Way.FAR, own);
+        }
+        if (!quiet && tally.version() == toldVersion && !tally.hasPlaces()) {
+            return;
+        }
+        toldVersion = tally.version();
+        var o = tally.whole(own, now).write(new Rec.Out());
+        tally.writePlaces(o, TallyDesk.Way.EDGES);
+        own.doubtful().write(o);
+        var b = o.bytes();
+        homes.forEach((ip, l) -> l.send(new Rec.Out(Rows.WHOLE_SUM).i64(tally.seqOf(ip)).raw(b).bytes()));
+    }
+
+    private long toldVersion = -1;
+
+    private void sumTo(Predicate<String> whom, TallyDesk.Way way, Tally own) {
+        var to = dials.keySet().stream().filter(whom).toList();
+        if (to.isEmpty()) {
+            return;
+        }
+        var o = own.write(new Rec.Out(Rows.HOME_SUM).text(props.ip).i64(life).i64(sums));
+        tally.writePlaces(o, way);
+        var b = o.bytes();
+        to.forEach(d -> dials.get(d).send(b));
+    }
+
+    private void onSample(Rec.In in) {
+        var now = Clocks.nowUs();
+        var ip = in.text();
+        var lf = in.i64();
+        var sq = in.i64();
+        if (tally.take(ip, lf, sq, Tally.read(in), now)) {
+            places(in, true);
+        }
+    }
+
+    private void onHomeSum(Rec.In in) {
+        var ip = in.text();
+        if (tally.takeHome(ip, in.i64(), in.i64(), Tally.read(in), Clocks.nowUs())) {
+            places(in, false);
+        }
+    }
+
+    private void places(Rec.In in, boolean fromEdge) {
+        in.list(x -> {
+            tally.place(x.text(), x.text(), fromEdge);
+            return 0;
+        });
+    }
+
+    /** A report comes from an edge of ours, then goes to all our edges and to the siblings; theirs pass it to their edges only. */
+    private void onReport(Links.Link l, byte[] rec) {
+        if (l.tag instanceof String ip && homes.get(ip) == l) {
+            dials.values().forEach(d -> d.send(rec));
+        }
+        homes.values().forEach(h -> h.send(rec));
+    }
+
     // ---- the chain's commands
 
     private void carryOut() {
@@ -197,14 +347,23 @@
         } else if (c instanceof ChainCore.Committed m) {
             RingLog.note("committed edition " + m.state().edition + " revision " + m.state().revision + " in view " + chain.view());
             m.state().roster.forEach(this::dial);
-            var b = setup(m.state());
-            homes.values().forEach(l -> l.send(b));
+            var whole = setup(m.state(), true);
+            var short1 = setup(m.state(), false);
+            homes.forEach((ip, l) -> l.send(menus.getOrDefault(ip, -1L) == m.state().revision ? short1 : whole));
+            homes.keySet().forEach(ip -> menus.put(ip, m.state().revision));
         }
     }
 
-    private static byte[] setup(CoreState s) {
-        var o = new Rec.Out(Rows.SETUP).i64(s.edition).i64(s.revision).text(s.menu).texts(s.evacuated);
-        return o.list(s.duties.entrySet(), (w, e) -> w.text(e.getKey()).i64(e.getValue().grant).text(e.getValue().holder)).bytes();
+    /** What an edge needs of the core's state; the menu itself only when the edge has not been sent this revision. */
+    private static byte[] setup(CoreState s, boolean menu) {
+        return new Rec.Out(Rows.SETUP).i64(s.edition).i64(s.revision).text(menu ? s.menu : "").texts(s.evacuated)
+            .list(s.scales.entrySet(), (w, e) -> w.text(e.getKey()).i32(e.getValue().desired()).flag(e.getValue().pinned()).texts(e.getValue().resting())).bytes();
+    }
+
+    private void setupWhole(String ip, Links.Link l) {
+        var s = chain.committed();
+        l.send(setup(s, true));
+        menus.put(ip, s.revision);
     }
 
     // ---- errands to the chain
@@ -271,8 +430,11 @@
                 r.ifPresent(f -> f.accept(s, x));
             }
             case Rows.RENEW -> renew(l, in);
+            case Rows.SAMPLE -> onSample(in);
+            case Rows.HOME_SUM -> onHomeSum(in);
+            case Rows.REPORT -> onReport(l, rec);
             case Rows.RESYNC -> {
-                l.send(setup(chain.committed()));
+                setupWhole(l.tag instanceof String ip ? ip : "", l);
                 l.send(book.rows(book.replicas(), true, Clocks.nowUs()));
             }
             case Rows.EDGE_ASK -> edgeAsk(l, in);
@@ -290,26 +452,43 @@
         var stamp = in.i64();
         var holder = in.text();
         var wants = in.texts();
+        var cold = in.texts();
         book.take(e, true);
         if (homes.put(e.ip, l) != l) {
             l.tag = e.ip;
-            l.send(setup(chain.committed()));
+            setupWhole(e.ip, l);
             l.send(book.rows(book.replicas(), true, now));
         }
-        l.send(news(now, stamp, e.region));
+        l.send(news(now, stamp, e, cold));
         jobs(e.region, holder, now).ifPresent(l::send);
-        wants.forEach(k -> want(k, holder, stamp));
+        wants.forEach(k -> passWant(k, holder, stamp, now));
         if (e.leaving) {
             flood();
         }
     }
 
-    private byte[] news(long now, long stamp, String region) {
+    private byte[] news(long now, long stamp, Rows.Edge e, List<String> cold) {
         var s = chain.committed();
-        var o = new Rec.Out(Rows.NEWS).i64(stamp).i64(now - startUs + (restored ? 10_000_000 : 0)).i64(chain.staleUs(now)).i64(s.edition).i32(book.edgeDigest()).i32(mostEdges);
-        o.texts(cores());
-        o.list(book.members(now), (w, e) -> e.write(w, now));
-        return o.flag(s.book.jobs.values().stream().anyMatch(j -> j.state.live() && j.region.equals(region))).bytes();
+        var o = new Rec.Out(Rows.NEWS).i64(stamp).i64(now - startUs + (restored ? 10_000_000 : 0)).i64(chain.staleUs(now)).i64(s.edition).i32(book.edgeDigest()).i32(mostEdges).i32(book.members(now).size());
+        o.texts(cores()).flag(s.book.jobs.values().stream().anyMatch(j -> j.state.live() && j.region.equals(e.region)));
+        return o.i64(WarmSlots.LEASE_US).list(lend(e, cold, now).entrySet(), (w, x) -> w.text(x.getKey()).i32(x.getValue())).bytes();
+    }
+
+    private Map<String, Integer> lend(Rows.Edge e, List<String> cold, long now) {
+        var m = new LinkedHashMap<String, Integer>();
+        if (!e.region.equals(props.region) || e.leaving) {
+            return m;
+        }
+        var t = table(chain.committed());
+        for (var id : cold) {
+            var svc = book.replica(id).flatMap(r -> Optional.ofNullable(t.services.get(r.service)));
+            var all = svc.map(x -> (int) Math.floor(x.warmPerS * props.bounds.warmOverage + props.bounds.warmSlack)).orElse(0);
+            var n = warm.lend(id, e.ip, all / Math.max(mostHomes, homesHere()), homes.size(), now);
+            if (n > 0) {
+                m.put(id, n);
+            }
+        }
+        return m;
     }
 
     /** The live jobs of a region, for the holder of that duty. */
@@ -376,6 +555,18 @@
         return c;
     }
 
+    /** The holder's own word goes on always, others' only one in a while: the head needs a candidate, not all of them. */
+    private void passWant(String key, String holder, long stamp, long now) {
+        var d = Optional.ofNullable(chain.committed().duties.get(key));
+        if (d.isEmpty() || !d.get().holder.equals(holder)) {
+            if (now - wanted.getOrDefault(key, 0L) < WANT_US) {
+                return;
+            }
+            wanted.put(key, now);
+        }
+        want(key, holder, stamp);
+    }
+
     private void want(String key, String holder, long stamp) {
         if (chain.heading()) {
             Optional.ofNullable(homes.get(ipOf(holder))).ifPresent(l -> duties.want(key, holder, stamp, l));
@@ -397,6 +588,8 @@
     public void onClosed(Links.Link l) {
         if (l.tag instanceof String ip && homes.get(ip) == l) {
             homes.remove(ip);
+            menus.remove(ip);
+            tally.lapse(ip);
         }
     }
 
@@ -405,7 +598,14 @@
     private String query(String q) {
         var now = Clocks.nowUs();
         var b = new StringBuilder();
+        var words = q.split(" ");
+        if (words.length == 3 && words[0].equals("would") && (words[2].equals("unload") || words[2].equals("load"))) {
+            return would(words[1], words[2]);
+        }
         switch (q) {
+            case "exposure" -> exposure().forEach(f -> b.append(f.text()).append('\n'));
+            case "scaling" -> chain.committed().scales.forEach((k, x) -> b.append(String.format("%s desired %d%s grant %d resting %s\n", k, x.desired(),
+                x.pinned() ? " unloaded by the operator" : "", x.grant(), x.resting())));
             case "members" -> book.members(now).forEach(e -> b.append(String.format("%s %s %s %s%s revision %d lease-age %d ms\n", e.ip, e.name, e.hall,
                 e.ready ? "ready" : "not-ready", e.leaving ? " leaving" : "", e.revision, (now - e.heardUs) / 1000)));
             case "chain" -> b.append(String.format("mode %s view %d.%s head %s chain %s stale %d ms\nroster %s\n", chain.mode(), chain.view().n(), chain.view().who(),
@@ -418,7 +618,7 @@
             case "leases" -> chain.committed().duties.forEach((k, d) -> b.append(String.format("%s grant %d holder %s\n", k, d.grant, d.holder)));
             case "jobs" -> b.append(chain.committed().book.text(chain.jobClockUs(now)));
             case "log" -> b.append(RingLog.tail(200));
-            default -> b.append("? members chain setup replicas evacuations homes leases jobs log\n");
+            default -> b.append("? members chain setup replicas evacuations homes leases jobs scaling exposure log; would REGION/MODEL unload|load\n");
         }
         return b.toString();
     }
--- a/pantry/src/main/java/martenloom/pantry/chain/ChainCore.java
+++ b/pantry/src/main/java/martenloom/pantry/chain/ChainCore.java
@@ -1,6 +1,7 @@
 package martenloom.pantry.chain;
 
 import java.util.*;
+import java.util.function.*;
 import martenloom.galley.record.*;
 import martenloom.pantry.state.*;
 
@@ -862,13 +863,19 @@
     }
 
     private String workText = "";
+    private Supplier<String> survey = () -> "";
+
+    /** Asked at the head in the step that decides a change of placement: what runs where. */
+    public void onSurvey(Supplier<String> s) {
+        survey = s;
+    }
 
     private void work() {
         if (mode != Mode.HEADING || inWork.isPresent() || storing.isPresent() || inbox.isEmpty()) {
             return;
         }
         var a = inbox.poll();
-        var ch = a.change.stamped(jobClockUs(now));
+        var ch = a.change.stamped(jobClockUs(now)).surveyed(a.change.act.ofPlacement() ? survey.get() : "");
         var o = led.state.decide(ch);
         if (o.status == 400) {
             out.add(new Answer(a.errand, 400, o.text));
--- a/pantry/src/main/java/martenloom/pantry/desk/ControlDesk.java
+++ b/pantry/src/main/java/martenloom/pantry/desk/ControlDesk.java
@@ -56,7 +56,7 @@
     @Override
     public Promise<HttpResponse> serve(HttpRequest q) {
         var seg = q.getPath().split("/");
-        var key = q.getMethod() + " " + (seg.length > 1 ? seg[1] : "") + (seg.length > 3 ? "/*/" + seg[3] : seg.length > 2 ? "/" + seg[2] : "");
+        var key = q.getMethod() + " " + (seg.length > 1 ? seg[1] : "") + (seg.length > 4 ? "/*/*/" + seg[4] : seg.length > 3 ? "/*/" + seg[3] : seg.length > 2 ? "/" + seg[2] : "");
         return switch (key) {
             case "GET lookup" -> Promise.of(lookup(q));
             case "POST configuration/replace" -> change(q, CoreState.Act.REPLACE);
@@ -64,6 +64,7 @@
             case "GET configuration/describe" -> ask(new CoreState.Change(CoreState.Act.READ, 0, "", ""));
             case "POST evacuations/*/start" -> evacuation(seg[2], CoreState.Act.EVAC_START);
             case "POST evacuations/*/finish" -> evacuation(seg[2], CoreState.Act.EVAC_FINISH);
+            case "POST placements/*/*/unload", "POST placements/*/*/load" -> placement(seg[2], seg[3], seg[4]);
             case "POST instances/*/heartbeat" -> body(q).then(b -> Promise.of(beat(seg[2], b)));
             case "POST instances/*/deregister" -> Promise.of(deregister(seg[2]));
             case "POST jobs/*/submit" -> body(q).then(b -> submit(seg[2], b));
@@ -109,6 +110,19 @@
         return ask(new CoreState.Change(act, 0, h, ""));
     }
 
+    /** Takes a region's replicas of a model out of service, or back into it; the chain's head checks what that strands. */
+    private Promise<HttpResponse> placement(String region, String model, String order) {
+        var g = URLDecoder.decode(region, StandardCharsets.UTF_8);
+        var m = URLDecoder.decode(model, StandardCharsets.UTF_8);
+        if (!props.halls.containsValue(g)) {
+            return Promise.of(plain(404, "region '" + g + "' is not known"));
+        }
+        if (table.get().services.values().stream().noneMatch(s -> s.engine && s.model.equals(m))) {
+            return Promise.of(plain(404, "model '" + m + "' is not known"));
+        }
+        return ask(new CoreState.Change(CoreState.Act.PLACE, 0, g + "/" + m, order));
+    }
+
     private Promise<HttpResponse> ask(CoreState.Change c) {
         var p = new SettablePromise<HttpResponse>();
         ask(c, Clocks.nowUs(), p);
--- a/pantry/src/main/java/martenloom/pantry/registry/FleetBook.java
+++ b/pantry/src/main/java/martenloom/pantry/registry/FleetBook.java
@@ -15,6 +15,7 @@
 public final class FleetBook {
     private static final long EDGE_LEASE_US = 2_500_000;
     private static final long FORGET_US = 60_000_000;
+    private static final long TELL_US = 800_000;
 
     private static final class Shard {
         final Map<String, Rows.Replica> replicas = new HashMap<>();
@@ -26,6 +27,9 @@
     private final Map<String, Rows.Replica> freshReplicas = new LinkedHashMap<>();
     private final Map<String, Rows.Edge> freshEdges = new LinkedHashMap<>();
     private final Map<String, Rows.Replica> changed = new LinkedHashMap<>();
+    private final Map<String, Long> toldUs = new HashMap<>();
+    private volatile boolean digestOld = true;
+    private int digest;
 
     public FleetBook(long beatUs) {
         silentUs = beatUs * 3 + 300_000;
@@ -57,6 +61,7 @@
             freshReplicas.put(r.id, r);
         }
         if (!same) {
+            digestOld = true;
             changed.put(r.id, r);
         }
     }
@@ -69,15 +74,21 @@
                 return false;
             }
             s.edges.put(e.ip, e);
-        }
-        if (direct) {
-            synchronized (this) {
-                freshEdges.put(e.ip, e);
+            if (direct) {
+                tell(e, old.map(o -> o.digest() == e.digest()).orElse(false));
             }
         }
         return true;
     }
 
+    /** A renewal that says nothing new is told on only now and then, well within the lease. */
+    private synchronized void tell(Rows.Edge e, boolean same) {
+        if (!same || e.heardUs - toldUs.getOrDefault(e.ip, 0L) >= TELL_US) {
+            toldUs.put(e.ip, e.heardUs);
+            freshEdges.put(e.ip, e);
+        }
+    }
+
     public Optional<Rows.Replica> replica(String id) {
         var s = of(id);
         synchronized (s) {
@@ -89,7 +100,7 @@
     public void sweep(long now) {
         for (var s : shards) {
             synchronized (s) {
-                s.replicas.values().removeIf(r -> now - r.heardUs > FORGET_US);
+                digestOld |= s.replicas.values().removeIf(r -> now - r.heardUs > FORGET_US);
                 s.edges.values().removeIf(e -> now - e.heardUs > FORGET_US);
                 for (var r : s.replicas.values()) {
                     if (!r.silent && !r.gone && now - r.heardUs > silentUs) {
@@ -190,8 +201,8 @@
     }
 
     /** A note for the next start: the most edges ever, by which shares are divided, and the replicas as they were. */
-    public byte[] memo(int mostEdges, long now) {
-        return new Rec.Out().i32(mostEdges).list(replicas(), (o, r) -> r.write(o, now)).bytes();
+    public byte[] memo(int mostEdges, int mostHomes, long now) {
+        return new Rec.Out().i32(mostEdges).i32(mostHomes).list(replicas(), (o, r) -> r.write(o, now)).bytes();
     }
 
     /**
@@ -210,10 +221,18 @@
 
     /** What an edge's copy is compared by. */
     public int edgeDigest() {
-        var d = 0;
-        for (var r : replicas()) {
-            d += r.gone ? 0 : r.digest();
+        if (digestOld) {
+            digestOld = false;
+            var d = 0;
+            for (var s : shards) {
+                synchronized (s) {
+                    for (var r : s.replicas.values()) {
+                        d += r.gone ? 0 : r.digest();
+                    }
+                }
+            }
+            digest = d;
         }
-        return d;
+        return digest;
     }
 }
--- a/pantry/src/main/java/martenloom/pantry/state/CoreState.java
+++ b/pantry/src/main/java/martenloom/pantry/state/CoreState.java
@@ -5,6 +5,9 @@
 import java.util.*;
 import martenloom.galley.fault.*;
 import martenloom.galley.record.*;
+import martenloom.menu.language.*;
+import martenloom.menu.placement.*;
+import martenloom.menu.route.*;
 import martenloom.menu.setup.*;
 
 /**
@@ -24,6 +27,19 @@
     public final Set<String> evacuated;
     public final Map<String, Duty> duties;
     public final JobBook book;
+    /** Desired counts and who rests, by region and model; what is not named runs as it is registered. */
+    public final Map<String, Scale> scales;
+
+    /** How many replicas of a model a region is to have, and which of them rest. Pinned by the operator: all rest. */
+    public record Scale(int desired, boolean pinned, long grant, Set<String> resting) {
+        private void write(Rec.Out o) {
+            o.i32(desired).flag(pinned).i64(grant).texts(resting);
+        }
+
+        private static Scale read(Rec.In in) {
+            return new Scale(in.i32(), in.flag(), in.i64(), new TreeSet<>(in.texts()));
+        }
+    }
 
     public static final class Duty {
         public final long grant;
@@ -37,11 +53,21 @@
 
     public enum Act {
         REPLACE, UPDATE, EVAC_START, EVAC_FINISH, DUTY, ROSTER, READ,
-        JOB_SUBMIT, JOB_GET, JOB_LIST, JOB_RESULT, JOB_CONFIRM, JOB_CANCEL, JOB_START, JOB_KEEP, JOB_DONE, JOB_BACK, JOB_CLOCK;
+        JOB_SUBMIT, JOB_GET, JOB_LIST, JOB_RESULT, JOB_CONFIRM, JOB_CANCEL, JOB_START, JOB_KEEP, JOB_DONE, JOB_BACK, JOB_CLOCK,
+        SCALE, PLACE, ROSTER_OUT;
 
         /** What an edge may ask for as the holder of a duty. */
         public boolean ofRunner() {
-            return this == JOB_START || this == JOB_KEEP || this == JOB_DONE || this == JOB_BACK;
+            return this == JOB_START || this == JOB_KEEP || this == JOB_DONE || this == JOB_BACK || this == SCALE;
+        }
+
+        /** What changes the placement, and is judged by what runs at the moment of the write. */
+        public boolean ofPlacement() {
+            return this == SCALE || this == PLACE;
+        }
+
+        boolean ofJobs() {
+            return name().startsWith("JOB_");
         }
     }
 
@@ -52,14 +78,16 @@
         public final String subject;
         public final String body;
         public final long atUs;
+        public final String survey;
 
         public Change(Act a, long base, String subject, String body) {
-            this(a, base, subject, body, 0);
+            this(a, base, subject, body, 0, "");
         }
 
-        private Change(Act a, long base, String subject, String body, long at) {
+        private Change(Act a, long base, String subject, String body, long at, String s) {
             act = a;
             atUs = at;
+            survey = s;
             this.base = base;
             this.subject = subject;
             this.body = body;
@@ -67,15 +95,20 @@
 
         /** The same, stamped by the head with the job clock. */
         public Change stamped(long at) {
-            return new Change(act, base, subject, body, at);
+            return new Change(act, base, subject, body, at, survey);
+        }
+
+        /** The same, with what runs where as the head sees it at this moment: every member decides by the same words. */
+        public Change surveyed(String s) {
+            return new Change(act, base, subject, body, atUs, s);
         }
 
         public void write(Rec.Out o) {
-            o.u8(act.ordinal()).i64(base).text(subject).text(body).i64(atUs);
+            o.u8(act.ordinal()).i64(base).text(subject).text(body).i64(atUs).text(survey);
         }
 
         public static Change read(Rec.In in) {
-            return new Change(Act.values()[in.u8()], in.i64(), in.text(), in.text(), in.i64());
+            return new Change(Act.values()[in.u8()], in.i64(), in.text(), in.text(), in.i64(), in.text());
         }
     }
 
@@ -92,7 +125,7 @@
         }
     }
 
-    private CoreState(long e, List<String> r, long rev, String j, String m, Map<Long, String> h, Set<String> ev, Map<String, Duty> d, JobBook b) {
+    private CoreState(long e, List<String> r, long rev, String j, String m, Map<Long, String> h, Set<String> ev, Map<String, Duty> d, JobBook b, Map<String, Scale> sc) {
         edition = e;
         roster = List.copyOf(r);
         revision = rev;
@@ -102,10 +135,11 @@
         evacuated = ev;
         duties = d;
         book = b;
+        scales = sc;
     }
 
     public static CoreState founded(List<String> roster) {
-        return new CoreState(0, roster, 0, "", "", Map.of(), Set.of(), Map.of(), JobBook.EMPTY);
+        return new CoreState(0, roster, 0, "", "", Map.of(), Set.of(), Map.of(), JobBook.EMPTY, Map.of());
     }
 
     public byte[] bytes() {
@@ -114,6 +148,7 @@
         o.texts(evacuated);
         o.list(duties.entrySet(), (w, x) -> w.text(x.getKey()).i64(x.getValue().grant).text(x.getValue().holder));
         book.write(o);
+        o.list(scales.entrySet(), (w, x) -> x.getValue().write(w.text(x.getKey())));
         return o.bytes();
     }
 
@@ -129,7 +164,14 @@
         var ev = new TreeSet<>(in.texts());
         var d = new TreeMap<String, Duty>();
         in.list(x -> d.put(x.text(), new Duty(x.i64(), x.text())));
-        return new CoreState(e, r, rev, j, m, h, ev, d, JobBook.read(in));
+        var jb = JobBook.read(in);
+        var sc = new TreeMap<String, Scale>();
+        in.list(x -> sc.put(x.text(), Scale.read(x)));
+        return new CoreState(e, r, rev, j, m, h, ev, d, jb, sc);
+    }
+
+    private CoreState next(List<String> r, Set<String> ev, Map<String, Duty> d, JobBook b, Map<String, Scale> sc) {
+        return new CoreState(edition + 1, r, revision, json, menu, history, ev, d, b, sc);
     }
 
     public Outcome decide(Change c) {
@@ -140,13 +182,16 @@
             case EVAC_FINISH -> evacuate(c.subject, false);
             case DUTY -> duty(c);
             case ROSTER -> enrol(c.subject);
+            case ROSTER_OUT -> strike(c.subject);
+            case SCALE -> scale(c);
+            case PLACE -> place(c);
             default -> job(c);
         };
     }
 
     private Outcome job(Change c) {
         var s = book.decide(c, duties);
-        return new Outcome(s.status(), s.text(), s.next().map(b -> new CoreState(edition + 1, roster, revision, json, menu, history, evacuated, duties, b)));
+        return new Outcome(s.status(), s.text(), s.next().map(b -> next(roster, evacuated, duties, b, scales)));
     }
 
     private Outcome setup(Change c) {
@@ -177,7 +222,7 @@
         while (h.size() > HISTORY) {
             h.remove(h.keySet().iterator().next());
         }
-        return new CoreState(edition + 1, roster, s.revision, s.json, s.menu, h, evacuated, duties, book);
+        return new CoreState(edition + 1, roster, s.revision, s.json, s.menu, h, evacuated, duties, book, scales);
     }
 
     private Outcome evacuate(String hall, boolean on) {
@@ -190,14 +235,14 @@
         } else {
             ev.remove(hall);
         }
-        return new Outcome(200, "", Optional.of(new CoreState(edition + 1, roster, revision, json, menu, history, ev, duties, book)));
+        return new Outcome(200, "", Optional.of(next(roster, ev, duties, book, scales)));
     }
 
     private Outcome duty(Change c) {
         var d = new TreeMap<>(duties);
         var g = d.getOrDefault(c.subject, new Duty(0, "")).grant + 1;
         d.put(c.subject, new Duty(g, c.body));
-        return new Outcome(200, String.valueOf(g), Optional.of(new CoreState(edition + 1, roster, revision, json, menu, history, evacuated, d, book)));
+        return new Outcome(200, String.valueOf(g), Optional.of(next(roster, evacuated, d, book, scales)));
     }
 
     private Outcome enrol(String ip) {
@@ -206,7 +251,72 @@
         }
         var r = new ArrayList<>(roster);
         r.add(ip);
-        return new Outcome(200, "", Optional.of(new CoreState(edition + 1, r, revision, json, menu, history, evacuated, duties, book)));
+        return new Outcome(200, "", Optional.of(next(r, evacuated, duties, book, scales)));
+    }
+
+    private Outcome strike(String ip) {
+        if (!roster.contains(ip)) {
+            return new Outcome(200, "", Optional.empty());
+        }
+        var r = new ArrayList<>(roster);
+        r.remove(ip);
+        return new Outcome(200, "", Optional.of(next(r, evacuated, duties, book, scales)));
+    }
+
+    // ---- placement
+
+    /** The scaler's order, under the grant of its duty: how many are desired, then who rests, one a line. */
+    private Outcome scale(Change c) {
+        var g = c.subject.indexOf('/');
+        var d = Optional.ofNullable(duties.get("scale/" + c.subject.substring(0, Math.max(0, g))));
+        if (g < 1 || d.isEmpty() || d.get().grant != c.base) {
+            return new Outcome(409, "fence: grant " + c.base + " of scale/" + c.subject + " is not in force", Optional.empty());
+        }
+        if (!c.body.matches("all|\\d{1,6}(\\n[^\\n]+)*")) {
+            return new Outcome(400, "order: a count, or all, and then one replica a line are expected", Optional.empty());
+        }
+        var l = c.body.split("\n");
+        var held = Optional.ofNullable(scales.get(c.subject));
+        if (held.isPresent() && held.get().pinned) {
+            return new Outcome(409, "pinned: " + c.subject + " is unloaded by the operator", Optional.empty());
+        }
+        if (c.body.equals("all")) {
+            return placed(c, Optional.empty());
+        }
+        var rest = new TreeSet<>(List.of(l).subList(1, l.length));
+        return placed(c, Optional.of(new Scale(Integer.parseInt(l[0]), false, c.base, rest)));
+    }
+
+    /** The operator's order: a region's replicas of a model rest, or run again as the scaler says. */
+    private Outcome place(Change c) {
+        return placed(c, c.body.equals("unload") ? Optional.of(new Scale(0, true, 0, Set.of())) : Optional.empty());
+    }
+
+    private Outcome placed(Change c, Optional<Scale> s) {
+        var held = Optional.ofNullable(scales.get(c.subject));
+        if (held.equals(s)) {
+            return new Outcome(200, "", Optional.empty());
+        }
+        var to = new TreeMap<>(scales);
+        s.ifPresentOrElse(x -> to.put(c.subject, x), () -> to.remove(c.subject));
+        var t = MenuText.compile(menu);
+        var all = Placement.of(c.survey);
+        var bad = Placement.added(rested(all, t, scales), rested(all, t, to), t);
+        if (!bad.isEmpty()) {
+            return new Outcome(409, String.join("; ", bad.stream().map(Placement.Finding::text).toList()), Optional.empty());
+        }
+        return new Outcome(200, "", Optional.of(next(roster, evacuated, duties, book, to)));
+    }
+
+    /** What runs when those that rest by these orders are taken away. */
+    public static Placement rested(Placement all, RouteTable t, Map<String, Scale> scales) {
+        var p = all;
+        for (var e : scales.entrySet()) {
+            var g = e.getKey().indexOf('/');
+            var model = e.getKey().substring(g + 1);
+            p = p.without(t.services.values().stream().filter(s -> s.engine && s.model.equals(model)).toList(), e.getKey().substring(0, g), e.getValue().pinned, e.getValue().resting);
+        }
+        return p;
     }
 
     private static String digest(Change c) {
--- /dev/null
+++ b/pantry/src/test/java/martenloom/pantry/tally/TallyDeskTest.java
@@ -0,0 +1,76 @@
+package martenloom.pantry.tally;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.util.*;
+import martenloom.galley.record.*;
+import martenloom.galley.tally.*;
+import org.junit.jupiter.api.*;
+
+/** Parts of edges add up once each; what is late, repeated, of a former life or lapsed does not count. */
+final class TallyDeskTest {
+    private final TallyDesk d = new TallyDesk();
+
+    private static Tally part(int inHand, int flights) {
+        var t = Tally.ofEdge();
+        t.put("r", inHand, inHand * 100, false);
+        for (var i = 0; i < flights; i++) {
+            t.fly("north/m");
+        }
+        return t;
+    }
+
+    private int whole(long now) {
+        return d.whole(d.own(now), now).load("r").inHand;
+    }
+
+    @Test
+    void partsAddUpAndComeBackWhole() {
+        assertTrue(d.take("e1", 1, 1, part(3, 4), 0));
+        assertTrue(d.take("e2", 9, 1, part(2, 1), 0));
+        assertTrue(d.takeHome("h2", 5, 1, new Tally().add(part(5, 2)).add(part(1, 1)), 0));
+        var w = Tally.read(new Rec.In(d.whole(d.own(0), 0).write(new Rec.Out()).bytes(), false));
+        assertEquals(11, w.load("r").inHand);
+        assertEquals(1100, w.load("r").unread);
+        assertEquals(8, w.flights().get("north/m"));
+        assertEquals(4, w.edges());
+        assertEquals(8, w.less(part(3, 4)).load("r").inHand, "an edge takes its own part away");
+    }
+
+    @Test
+    void lateRepeatedAndFormerLivesAreIgnored() {
+        assertTrue(d.take("e1", 1, 2, part(3, 0), 0));
+        assertFalse(d.take("e1", 1, 2, part(9, 0), 0));
+        assertFalse(d.take("e1", 1, 1, part(9, 0), 0));
+        assertTrue(d.take("e1", 2, 1, part(4, 0), 0));
+        assertFalse(d.take("e1", 1, 3, part(9, 0), 0), "a former life");
+        assertEquals(4, whole(0));
+        assertEquals(1, d.seqOf("e1"));
+    }
+
+    @Test
+    void partsLapse() {
+        d.take("e1", 1, 1, part(3, 0), 0);
+        d.take("e2", 1, 1, part(2, 0), 1_500_000);
+        d.takeHome("h2", 1, 1, part(7, 0), 1_500_000);
+        assertEquals(12, whole(1_900_000));
+        assertEquals(9, whole(2_500_000), "the first edge was not heard");
+        assertEquals(2, whole(3_100_000), "the sibling home neither");
+        d.lapse("e2");
+        assertEquals(0, whole(3_100_000));
+        assertTrue(d.take("e2", 1, 2, part(2, 0), 3_200_000), "the same life may come back");
+    }
+
+    @Test
+    void placesGoEachWayOnceAndOnlyOwnOnesGoOn() {
+        d.place("p1", "r1", true);
+        d.place("p2", "r2", false);
+        for (var w : TallyDesk.Way.values()) {
+            var o = new Rec.Out();
+            d.writePlaces(o, w);
+            var l = new Rec.In(o.bytes(), false).list(x -> x.text() + x.text());
+            assertEquals(w == TallyDesk.Way.EDGES ? List.of("p1r1", "p2r2") : List.of("p1r1"), l);
+        }
+        assertFalse(d.hasPlaces());
+    }
+}
