--- a/kiosk/src/main/java/martenloom/kiosk/Kiosk.java
+++ b/kiosk/src/main/java/martenloom/kiosk/Kiosk.java
@@ -5,6 +5,7 @@
 import java.nio.file.*;
 import java.util.*;
 import java.util.concurrent.atomic.*;
+import martenloom.autoscaler.*;
 import martenloom.galley.clock.*;
 import martenloom.galley.fault.*;
 import martenloom.galley.log.*;
@@ -34,20 +35,21 @@
     private static int run(String[] args) {
         var verb = args.length == 0 ? "" : args[0];
         return switch (verb) {
-            case "newsstand", "pantry" -> role(verb);
+            case "newsstand", "pantry" -> role(verb, args);
             case "rehearse" -> Rehearsal.run();
             default -> Commands.run(args);
         };
     }
 
-    private static int role(String verb) {
+    private static int role(String verb, String[] args) {
+        var scaling = scaling(verb, args);
         var p = Props.load(Optional.ofNullable(System.getenv("MARTENLOOM_NODE_FILE")).orElse(""));
         var loop = Clocks.reactor(verb);
         loop.keepAlive(true);
         loop.execute(() -> watchSettings(p, loop));
         try {
             if (verb.equals("newsstand")) {
-                newsstand(p, loop);
+                newsstand(p, loop, scaling);
             } else {
                 pantry(p, loop);
             }
@@ -58,10 +60,21 @@
         return 0;
     }
 
-    private static void newsstand(Props p, Eventloop loop) throws IOException {
+    /** The one option of a role, read by hand: the library of the commands would cost every start. */
+    private static ScaleProps scaling(String verb, String[] args) {
+        if (args.length == 1) {
+            return ScaleProps.DEFAULT;
+        }
+        if (args.length != 3 || !verb.equals("newsstand") || !args[1].equals("--scaling")) {
+            throw Fault.here(Fault.Code.USAGE, "read command line", verb + (verb.equals("newsstand") ? " takes --scaling WORDS or nothing" : " takes no options"));
+        }
+        return ScaleProps.parse(args[2]);
+    }
+
+    private static void newsstand(Props p, Eventloop loop, ScaleProps scaling) throws IOException {
         p.need("Frontend");
         p.need("Readiness");
-        var n = new Newsstand(p, loop);
+        var n = new Newsstand(p, loop, scaling);
         loop.execute(() -> starting(() -> n.start()));
         Runtime.getRuntime().addShutdownHook(new Thread(n::leave, "leave"));
     }
@@ -108,7 +121,7 @@
         }
     }
 
-    private static void reread(Props p, Path path, AtomicReference<String> last) {
+    static void reread(Props p, Path path, AtomicReference<String> last) {
         var t = text(path);
         if (t.isEmpty() || t.equals(last.getAndSet(t))) {
             return;
--- a/kiosk/src/test/java/martenloom/kiosk/CommandsTest.java
+++ b/kiosk/src/test/java/martenloom/kiosk/CommandsTest.java
@@ -53,6 +53,56 @@
         assertTrue(refused("check-settings", dir.resolve("none").toString()).contains("cannot be read"));
     }
 
+    @Test
+    void placementsAreCheckedBeforeTheyGoLive() throws IOException {
+        var running = ",\"Running\":[{\"Backend\":\"model\",\"Region\":\"north\",\"Replicas\":[\"a\",\"b\"]},{\"Backend\":\"model\",\"Region\":\"south\",\"Replicas\":[\"c\"]}]";
+        var f = "{\"Setup\":" + martenloom.kiosk.town.Town.setup(3, "") + running;
+        assertEquals(0, Commands.run(new String[] {"check-placement", file("p1.json", f + "}")}));
+        assertEquals(0, Commands.run(new String[] {"check-placement", file("p2.json", f + ",\"Change\":{\"Model\":\"m\",\"Region\":\"north\",\"Replicas\":[\"a\"]}}")}));
+        var out = new ByteArrayOutputStream();
+        var was = System.out;
+        System.setOut(new PrintStream(out));
+        try {
+            assertEquals(1, Commands.run(new String[] {"check-placement", file("p3.json", f + ",\"Change\":{\"Model\":\"m\",\"Region\":\"north\"}}")}));
+        } finally {
+            System.setOut(was);
+        }
+        assertEquals("refused: model 'm' would run nowhere if region 'south' were lost", out.toString().strip());
+        assertTrue(refused("check-placement", file("p4.json", f + ",\"Change\":{\"Model\":\"x\",\"Region\":\"north\"}}")).contains("model 'x' is unknown"));
+        assertTrue(refused("check-placement", file("p5.json", "{\"Setup\":")).startsWith("SETUP"));
+        assertTrue(refused("check-placement", file("p6.json", "{\"Setup\":" + martenloom.kiosk.town.Town.setup(3, "") + "}")).contains("Running"));
+        assertTrue(refused("check-placement").startsWith("USAGE"));
+        assertTrue(refused("check-placement", "--at", "127.0.0.1:1", "north").startsWith("USAGE"));
+    }
+
+    @Test
+    void scalingInASetupIsCheckedByModelFieldAndRange() throws IOException {
+        var good = martenloom.kiosk.town.Town.setup(3, "").replaceFirst("\\{", "{\"Autoscaling\":[{\"Name\":\"m\",\"WindowS\":10,\"MinReplicas\":2}],");
+        assertEquals(0, Commands.run(new String[] {"check-setup", file("a1.json", good)}));
+        assertTrue(refused("check-setup", file("a2.json", good.replace(":10", ":9"))).contains("model 'm' WindowS: 9 is not a whole number from 10 to 3600"));
+        assertTrue(refused("check-setup", file("a3.json", good.replace("WindowS", "Window"))).contains("no field of Autoscaling"));
+        assertTrue(refused("check-setup", file("a4.json", good.replace("\"Name\":\"m\",\"W", "\"Name\":\"z\",\"W"))).contains("no service has model 'z'"));
+    }
+
+    @Test
+    void changedSettingsAreTakenOverAndUnusableOnesArePassedOver() throws IOException {
+        var p = Props.parse(GOOD);
+        var f = Path.of(file("h.toml", GOOD.replace("DrainMs = 2500", "DrainMs = 2600")));
+        var last = new java.util.concurrent.atomic.AtomicReference<>(GOOD);
+        Kiosk.reread(p, f, last);
+        assertEquals(2600, p.bounds.drainMs);
+        for (var bad : List.of("DrainMs = \"x\"", "DrainMs = [")) {
+            Files.writeString(f, GOOD.replace("DrainMs = 2500", bad));
+            Kiosk.reread(p, f, last);
+            assertEquals(2600, p.bounds.drainMs, "the old goes on");
+            var said = Arrays.stream(martenloom.galley.log.RingLog.tail(20).split("\n")).filter(l -> l.contains("settings changed and are not usable")).toList();
+            assertFalse(said.isEmpty(), "said in one line");
+        }
+        Files.delete(f);
+        Kiosk.reread(p, f, last);
+        assertEquals(2600, p.bounds.drainMs);
+    }
+
     @Test
     void setupsAreCheckedInBothForms() throws IOException {
         assertEquals(0, Commands.run(new String[] {"check-setup", file("s.json", martenloom.kiosk.town.Town.setup(3, ""))}));
--- a/pantry/src/main/java/martenloom/pantry/Pantry.java
+++ b/pantry/src/main/java/martenloom/pantry/Pantry.java
@@ -82,6 +82,7 @@
         chain = new ChainCore(p.ip, new SecureRandom().nextLong(), disk, nearness(), Clocks.nowUs());
         chain.onAway(shelf.awayUs());
         book = new FleetBook(p.beatMs * 1000L);
+        chain.onLeastRoster(2 * Math.max(1, p.tolerateMachines) + 1);
         chain.onSurvey(() -> placement().text());
         duties = new DutyDesk(chain, this::askHere);
         var known = shelf.note(MEMO).map(this::remember).orElse(0);
--- a/pantry/src/main/java/martenloom/pantry/chain/ChainCore.java
+++ b/pantry/src/main/java/martenloom/pantry/chain/ChainCore.java
@@ -40,6 +40,8 @@
     private static final long RESEND_US = 400_000;
     private static final long SETTLE_US = 1_000_000;
     private static final int INBOX = 256;
+    /** A member of the roster that was not heard for so long, by one head all the time, is taken off when it is replaced. */
+    public static final long GONE_US = 120_000_000;
 
     /** A view's name; the higher number wins, then the address. */
     public record Ballot(long n, String who) implements Comparable<Ballot> {
@@ -249,6 +251,7 @@
             refuseAll();
         }
         if (m == Mode.HEADING) {
+            missingUs.clear();
             viewSinceUs = now;
             pulseAckUs = now;
             headSeen = me;
@@ -385,6 +388,34 @@
             startBid();
             return;
         }
+        strikeGone();
+    }
+
+    private final Map<String, Long> missingUs = new TreeMap<>();
+    private int leastRoster = Integer.MAX_VALUE;
+
+    /** The fewest members that still bear what is to be borne; without this word nobody is ever taken off. */
+    public void onLeastRoster(int n) {
+        leastRoster = n;
+    }
+
+    /**
+     * Takes one member at a time off the roster: one that this head has missed for long while more members are in the chain
+     * than must be. Neighbouring rosters differ by one, so their majorities meet as they do when it grows.
+     */
+    private void strikeGone() {
+        var r = led.state.roster;
+        missingUs.keySet().removeIf(m -> chain.contains(m) || !r.contains(m) || outside.containsKey(m));
+        for (var m : r) {
+            if (!chain.contains(m)) {
+                missingUs.putIfAbsent(m, now);
+            }
+        }
+        var gone = missingUs.entrySet().stream().filter(e -> now - e.getValue() > GONE_US).map(Map.Entry::getKey).findFirst();
+        if (gone.isPresent() && r.size() > leastRoster && chain.size() >= leastRoster) {
+            missingUs.remove(gone.get());
+            onAsk(now, -1, new CoreState.Change(CoreState.Act.ROSTER_OUT, 0, gone.get(), ""));
+        }
     }
 
     // ---- agreeing on a view
--- a/pantry/src/test/java/martenloom/pantry/chain/ChainStormTest.java
+++ b/pantry/src/test/java/martenloom/pantry/chain/ChainStormTest.java
@@ -182,6 +182,10 @@
             return nodes.values().stream().anyMatch(n -> n.core.isPresent() && n.core.get().heading() && n.core.get().committed().roster.size() == N);
         }
 
+        ChainCore head() {
+            return nodes.values().stream().flatMap(n -> n.core.stream()).filter(ChainCore::heading).findFirst().orElseThrow();
+        }
+
         void heal() {
             cut.clear();
             drop = 0;
@@ -207,6 +211,56 @@
         }
     }
 
+    /** Two daemons that are long gone: while four must stay nobody is taken off; when three are enough, both are, one by one. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void aMemberLongGoneIsTakenOffOneAtATimeAndNeverBelowWhatIsNeeded(long seed) {
+        var w = new World(seed);
+        for (var i = 0; i < 8000 && !w.grown(); i++) {
+            w.step();
+        }
+        w.heal();
+        for (var i = 0; i < 2000; i++) {
+            w.step();
+        }
+        assertTrue(w.nodes.values().stream().noneMatch(n -> n.core.get().mode() == ChainCore.Mode.LEARNING), "who is new has learned");
+        w.nodes.values().forEach(n -> n.core.get().onLeastRoster(4));
+        var gone = w.nodes.values().stream().filter(x -> !x.core.get().heading()).limit(2).toList();
+        gone.forEach(n -> {
+            w.crash(n, false);
+            n.upAt = Long.MAX_VALUE;
+        });
+        var t0 = w.now;
+        while (w.now < t0 + ChainCore.GONE_US - 5_000_000) {
+            w.step();
+        }
+        assertEquals(N, w.head().committed().roster.size(), "not before its time");
+        while (w.now < t0 + 2 * ChainCore.GONE_US) {
+            w.step();
+        }
+        assertEquals(N, w.head().committed().roster.size(), "three in the chain are fewer than four");
+        w.nodes.values().forEach(n -> n.core.ifPresent(c -> c.onLeastRoster(3)));
+        while (w.now < t0 + 4 * ChainCore.GONE_US) {
+            w.step();
+        }
+        var r = w.head().committed().roster;
+        assertEquals(3, r.size(), "both are taken off, one after the other");
+        assertTrue(gone.stream().noneMatch(n -> r.contains(n.ip)));
+        gone.forEach(n -> n.upAt = w.now);
+        for (var i = 0; i < 4000 && !w.grown(); i++) {
+            w.step();
+        }
+        assertTrue(w.grown(), "who comes back is enrolled again");
+        var before = w.acked.size();
+        for (var i = 0; i < 1000 && w.acked.size() == before; i++) {
+            if (i % 200 == 0) {
+                w.ask();
+            }
+            w.step();
+        }
+        assertTrue(w.acked.size() > before);
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24})
     void whatWasAcknowledgedStays(long seed) {
