--- a/galley/src/main/java/martenloom/galley/sibling/Links.java
+++ b/galley/src/main/java/martenloom/galley/sibling/Links.java
@@ -39,6 +39,7 @@
         private byte[] buf = new byte[1024];
         private int len;
         private int waiting;
+        private final Traffic traffic = Traffic.mine();
         private boolean open = true;
         public long heardUs = Clocks.nowUs();
         public Object tag = "";
@@ -69,6 +70,7 @@
             b.put(rec);
             var n = rec.length + 4;
             waiting += n;
+            traffic.sent(rec);
             sock.write(b).subscribe((v, e) -> {
                 waiting -= n;
                 if (e != null) {
--- a/newsstand/src/main/java/martenloom/newsstand/Newsstand.java
+++ b/newsstand/src/main/java/martenloom/newsstand/Newsstand.java
@@ -60,7 +60,7 @@
     private long homePickedUs;
     private long seq;
     private long edition = -1;
-    private long revision;
+    private volatile long revision;
     private boolean ready;
     private boolean leaving;
     private boolean synced;
@@ -98,6 +98,16 @@
         return readied;
     }
 
+    /** How many edges the last sums were of. */
+    public int edgesHeard() {
+        return load.whole().edges();
+    }
+
+    /** The revision that is in force here. */
+    public long revision() {
+        return revision;
+    }
+
     public Floor floor() {
         return floor;
     }
@@ -508,8 +518,9 @@
             case "home" -> b.append(homeIp).append(ready ? " ready" : " not ready").append(" edition ").append(edition).append(" revision ").append(revision).append('\n');
             case "jobs" -> b.append(jobs.text());
             case "scaling" -> b.append(scaler.text(now));
+            case "traffic" -> b.append(Traffic.text());
             case "log" -> b.append(RingLog.tail(200));
-            default -> b.append("? counters overload leases replicas setup home jobs scaling log\n");
+            default -> b.append("? counters overload leases replicas setup home jobs scaling traffic log\n");
         }
         return b.toString();
     }
--- a/pantry/src/main/java/martenloom/pantry/Pantry.java
+++ b/pantry/src/main/java/martenloom/pantry/Pantry.java
@@ -618,8 +618,9 @@
             case "homes" -> homes.forEach((ip, l) -> b.append(ip).append(" home ").append(props.ip).append('\n'));
             case "leases" -> chain.committed().duties.forEach((k, d) -> b.append(String.format("%s grant %d holder %s\n", k, d.grant, d.holder)));
             case "jobs" -> b.append(chain.committed().book.text(chain.jobClockUs(now)));
+            case "traffic" -> b.append(Traffic.text());
             case "log" -> b.append(RingLog.tail(200));
-            default -> b.append("? members chain setup replicas evacuations homes leases jobs scaling exposure log; would REGION/MODEL unload|load\n");
+            default -> b.append("? members chain setup replicas evacuations homes leases jobs scaling exposure traffic log; would REGION/MODEL unload|load\n");
         }
         return b.toString();
     }
