--- a/galley/src/main/java/martenloom/galley/tally/Tally.java
+++ b/galley/src/main/java/martenloom/galley/tally/Tally.java
@@ -92,12 +92,13 @@
         return this;
     }
 
-    /** The replicas of which some answers were bad, with what was answered and nothing else. */
+    /** The replicas that are doubted or of which some answers were bad, with that and nothing else. */
     public Tally doubtful() {
         var t = new Tally();
         loads.forEach((k, l) -> {
-            if (l.bad > 0) {
+            if (l.bad > 0 || l.doubts > 0) {
                 var x = t.put(k, 0, 0, false);
+                x.doubts = l.doubts;
                 x.ok = l.ok;
                 x.bad = l.bad;
             }
