--- a/newsstand/src/main/java/martenloom/newsstand/LoadView.java
+++ b/newsstand/src/main/java/martenloom/newsstand/LoadView.java
@@ -9,7 +9,8 @@
 
 /**
  * This edge's side of the sums: writes its own part for the home when it has changed, and turns a whole that comes back
- * into what the others have, by taking away the part of ours that the whole names.
+ * into what the others have, by taking away the part of ours that the whole names. Doubts are taken from the edges of our
+ * hall only: those elsewhere may be cut off from a replica that is well and in our reach.
  */
 final class LoadView {
     private static final int TOLD = 32;
@@ -74,16 +75,13 @@
         var mine = told.getOrDefault(in.i64(), new Tally());
         whole = Tally.read(in);
         wholeUs = now;
-        for (var s : rack.all()) {
-            var a = whole.load(s.row.id);
-            var m = mine.load(s.row.id);
-            s.others(a.inHand - m.inHand, a.unread - m.unread, a.doubts - m.doubts, now);
-        }
         floor.places.read(in);
         var hall = Tally.read(in);
         for (var s : rack.all()) {
             var a = whole.load(s.row.id);
+            var m = mine.load(s.row.id);
             var h = hall.load(s.row.id);
+            s.others(a.inHand - m.inHand, a.unread - m.unread, h.doubts - m.doubts, now);
             if (a.bad > 0) {
                 rack.judge(s, a.ok, a.bad, h.ok, h.bad, now);
             }
