--- a/pantry/src/main/java/martenloom/pantry/Pantry.java
+++ b/pantry/src/main/java/martenloom/pantry/Pantry.java
@@ -40,7 +40,7 @@
     private static final long ASK_US = 2_500_000;
     private static final long SILENCE_US = 2_000_000;
     private static final long SUM_US = 100_000;
-    private static final int FAR_TURNS = 3;
+    private static final int FAR_TURNS = 5;
     private static final int QUIET_TURNS = 5;
     private static final long WANT_US = 350_000;
 
