Overload reports are sent on change and every 0.7 s; a region without the model reports nothing

Cause: on the rig at 200 hollow edges core daemons sent 4719 records a second each, nearly all of them reports: every holder sent one each 250 ms, passed on to every edge, also for regions where the model never ran. Also: links found dead while sending no longer disturb the loop over the homes.

--- a/kiosk/src/test/java/martenloom/kiosk/rig/Rig.java
+++ b/kiosk/src/test/java/martenloom/kiosk/rig/Rig.java
@@ -48,6 +48,8 @@
         double edgeCpu;
         double heapMb;
         double setupBytes;
+        /** The kinds of records that core daemons send most, as number:records a second. */
+        String coreKinds = "";
         List<Long> changeMs = new ArrayList<>();
     }
 
@@ -134,14 +136,14 @@
     }
 
     private static String head() {
-        return "edges cores replicas halls regions models routes | ready known heard | core: records/s KB/s cpu% head-cpu% | edge: records/s KB/s cpu% | heap MB | setup KB | change ms (median, worst)";
+        return "edges cores replicas halls regions models routes | ready known heard | core: records/s KB/s cpu% head-cpu% | edge: records/s KB/s cpu% | heap MB | setup KB | change ms (median, worst) | core kinds (record:a second)";
     }
 
     private static String line(Size z, Seen s) {
         var l = s.changeMs.stream().sorted().toList();
-        return String.format(Locale.ROOT, "%d %d %d %d %d %d %d | %d %d %d | %.0f %.1f %.2f %.2f | %.1f %.2f %.3f | %.0f | %.1f | %s", z.edges, z.cores, z.replicas, z.halls, z.regions, z.models, z.routes,
+        return String.format(Locale.ROOT, "%d %d %d %d %d %d %d | %d %d %d | %.0f %.1f %.2f %.2f | %.1f %.2f %.3f | %.0f | %.1f | %s | %s", z.edges, z.cores, z.replicas, z.halls, z.regions, z.models, z.routes,
             s.readyEdges, s.replicasKnown, s.edgesHeard, s.coreRecords, s.coreBytes / 1000, s.coreCpu * 100, s.headCpu * 100, s.edgeRecords, s.edgeBytes / 1000, s.edgeCpu * 100, s.heapMb,
-            s.setupBytes / 1000, l.isEmpty() ? "-" : l.get(l.size() / 2) + ", " + l.get(l.size() - 1));
+            s.setupBytes / 1000, l.isEmpty() ? "-" : l.get(l.size() / 2) + ", " + l.get(l.size() - 1), s.coreKinds);
     }
 
     static Seen measure(Size z, int net) throws IOException, InterruptedException {
@@ -354,6 +356,14 @@
         return new double[] {r, b};
     }
 
+    private Map<Integer, Long> coreKinds() {
+        var m = new TreeMap<Integer, Long>();
+        for (var i = 0; i < z.cores; i++) {
+            Traffic.of("core-" + net + "-" + i).kinds().forEach((k, v) -> m.merge(k, v[0], Long::sum));
+        }
+        return m;
+    }
+
     private Seen look() throws IOException, InterruptedException {
         var s = new Seen();
         Thread.sleep(4000);
@@ -362,6 +372,7 @@
         var e0 = cpu(edgeThreads);
         var each0 = coreThreads.stream().map(m::getThreadCpuTime).toList();
         var cs = sent("core", z.cores);
+        var k0 = coreKinds();
         var es = sent("edges", EDGE_THREADS);
         var t0 = System.nanoTime();
         Thread.sleep(z.seconds * 1000L);
@@ -372,6 +383,9 @@
             s.headCpu = Math.max(s.headCpu, (m.getThreadCpuTime(coreThreads.get(i)) - each0.get(i)) / 1e9 / sec);
         }
         var ce = sent("core", z.cores);
+        var k1 = coreKinds();
+        s.coreKinds = k1.entrySet().stream().sorted(Comparator.comparingLong((Map.Entry<Integer, Long> e) -> k0.getOrDefault(e.getKey(), 0L) - e.getValue())).limit(5)
+            .map(e -> e.getKey() + ":" + Math.round((e.getValue() - k0.getOrDefault(e.getKey(), 0L)) / sec / z.cores)).collect(Collectors.joining(" "));
         var ee = sent("edges", EDGE_THREADS);
         s.coreRecords = (ce[0] - cs[0]) / sec / z.cores;
         s.coreBytes = (ce[1] - cs[1]) / sec / z.cores;
--- a/newsstand/src/main/java/martenloom/newsstand/Newsstand.java
+++ b/newsstand/src/main/java/martenloom/newsstand/Newsstand.java
@@ -34,6 +34,8 @@
     private static final long RENEW_US = 400_000;
     private static final long SAMPLE_US = 100_000;
     private static final long REPORT_US = 250_000;
+    private static final long REPORT_AGAIN_US = 700_000;
+    private static final int REPORT_STEP = 10;
     private static final long SCALE_US = 200_000;
     private static final long STALE_US = 1_200_000;
     private static final long SILENCE_US = 1_400_000;
@@ -265,7 +267,8 @@
     private Collection<String> wants() {
         var w = new TreeSet<String>();
         if (ready && !leaving) {
-            floor.table().services.values().stream().filter(s -> s.engine).forEach(s -> w.add(props.region + "/" + s.model));
+            floor.table().services.values().stream().filter(s -> s.engine && rack.of(s.name).stream().anyMatch(x -> x.region.equals(props.region)))
+                .forEach(s -> w.add(props.region + "/" + s.model));
             if (!w.isEmpty()) {
                 w.add(scaleDuty());
             }
@@ -416,13 +419,27 @@
                 var r = reporters.computeIfAbsent(key, k -> new Overload.Reporter());
                 r.granted(d.grant);
                 var i = key.indexOf('/');
-                r.observe(key.substring(0, i), key.substring(i + 1), props.ip, pressure(key.substring(i + 1), now)).ifPresent(this::tell);
+                r.observe(key.substring(0, i), key.substring(i + 1), props.ip, pressure(key.substring(i + 1), now)).filter(x -> due(x, now)).ifPresent(this::tell);
             } else {
                 reporters.remove(key);
             }
         });
     }
 
+    private record Told(int percent, long atUs) {}
+
+    private final Map<String, Told> toldReports = new HashMap<>();
+
+    /** A report goes out when it says something else by enough, ends, or must be said again well within its validity. */
+    private boolean due(Overload.Report r, long now) {
+        var t = toldReports.getOrDefault(r.key(), new Told(0, 0));
+        if (r.percent() > 0 && Math.abs(r.percent() - t.percent) < REPORT_STEP && now - t.atUs < REPORT_AGAIN_US) {
+            return false;
+        }
+        toldReports.put(r.key(), new Told(r.percent(), now));
+        return true;
+    }
+
     /** Predicted time to a first token of a new, cold prompt of usual size at this region's replicas, against the aim. */
     private double pressure(String model, long now) {
         var aim = Long.MAX_VALUE;
@@ -435,10 +452,14 @@
         }
         var sum = 0.0;
         var n = 0;
+        var known = 0;
         for (var s : rack.all()) {
             var svc = t.services.get(s.row.service);
-            if (svc == null || !svc.engine || !svc.model.equals(model) || !s.region.equals(props.region) || s.row.gone || s.row.draining || s.row.silent || s.resting
-                || floor.evacuated().contains(s.row.hall)) {
+            if (svc == null || !svc.engine || !svc.model.equals(model) || !s.region.equals(props.region)) {
+                continue;
+            }
+            known++;
+            if (s.row.gone || s.row.draining || s.row.silent || s.resting || floor.evacuated().contains(s.row.hall)) {
                 continue;
             }
             var in = s.mine + s.othersInHand(now);
@@ -447,7 +468,7 @@
             sum += now < s.suspectUntilUs ? aim : us;
             n++;
         }
-        return n == 0 ? 4 : sum / n / aim;
+        return known == 0 ? 0 : n == 0 ? 4 : sum / n / aim;
     }
 
     /** The home passes a report on to the edges elsewhere, by their homes. */
--- a/pantry/src/main/java/martenloom/pantry/Pantry.java
+++ b/pantry/src/main/java/martenloom/pantry/Pantry.java
@@ -167,7 +167,7 @@
         var ch = book.pollChanged();
         if (!ch.isEmpty()) {
             var b = book.rows(ch, false, now);
-            homes.values().forEach(l -> l.send(b));
+            toHomes((ip, l) -> l.send(b));
         }
         dials.values().forEach(d -> d.check(SILENCE_US));
     }
@@ -178,7 +178,7 @@
         var ch = book.pollChanged();
         if (!ch.isEmpty()) {
             var b = book.rows(ch, false, now);
-            homes.values().forEach(l -> l.send(b));
+            toHomes((ip, l) -> l.send(b));
         }
     }
 
@@ -274,7 +274,12 @@
         tally.writePlaces(o, TallyDesk.Way.EDGES);
         own.doubtful().write(o);
         var b = o.bytes();
-        homes.forEach((ip, l) -> l.send(new Rec.Out(Rows.WHOLE_SUM).i64(tally.seqOf(ip)).raw(b).bytes()));
+        toHomes((ip, l) -> l.send(new Rec.Out(Rows.WHOLE_SUM).i64(tally.seqOf(ip)).raw(b).bytes()));
+    }
+
+    /** To a copy: a link that is found not to read is closed by the sending, and leaves the homes. */
+    private void toHomes(BiConsumer<String, Links.Link> s) {
+        List.copyOf(homes.entrySet()).forEach(e -> s.accept(e.getKey(), e.getValue()));
     }
 
     private long toldVersion = -1;
@@ -319,7 +324,7 @@
         if (l.tag instanceof String ip && homes.get(ip) == l) {
             dials.values().forEach(d -> d.send(rec));
         }
-        homes.values().forEach(h -> h.send(rec));
+        toHomes((ip, h) -> h.send(rec));
     }
 
     // ---- the chain's commands
@@ -350,7 +355,7 @@
             m.state().roster.forEach(this::dial);
             var whole = setup(m.state(), true);
             var short1 = setup(m.state(), false);
-            homes.forEach((ip, l) -> l.send(menus.getOrDefault(ip, -1L) == m.state().revision ? short1 : whole));
+            toHomes((ip, l) -> l.send(menus.getOrDefault(ip, -1L) == m.state().revision ? short1 : whole));
             homes.keySet().forEach(ip -> menus.put(ip, m.state().revision));
         }
     }
--- a/pantry/src/main/java/martenloom/pantry/registry/FleetBook.java
+++ b/pantry/src/main/java/martenloom/pantry/registry/FleetBook.java
@@ -15,7 +15,7 @@
 public final class FleetBook {
     private static final long EDGE_LEASE_US = 2_500_000;
     private static final long FORGET_US = 60_000_000;
-    private static final long TELL_US = 800_000;
+    private static final long TELL_US = 1_200_000;
 
     private static final class Shard {
         final Map<String, Rows.Replica> replicas = new HashMap<>();
