--- a/kiosk/src/test/java/martenloom/kiosk/ColdTest.java
+++ b/kiosk/src/test/java/martenloom/kiosk/ColdTest.java
@@ -13,6 +13,38 @@
     @TempDir
     Path dir;
 
+    @Test
+    void moreEdgesThanSendsAreLentTheirTurns() throws Exception {
+        try (var t = new Town(dir, 89, 3)) {
+            t.replica("i-a", "plain", 0);
+            var c = t.replica("i-cold", "model", 0);
+            t.warmLeft.put("i-cold", 60_000);
+            var all = new int[] {0, 3, 6, 9, 12, 15, 18};
+            for (var i : all) {
+                t.startEdge(i);
+            }
+            assertEquals(200, t.order("POST /configuration/replace", "0", Town.setup(3, "").replace("\"WarmupPerS\":8.0", "\"WarmupPerS\":2.0")));
+            t.awaitReady(all);
+            var pool = Executors.newCachedThreadPool();
+            var t0 = System.nanoTime();
+            var served = 0;
+            for (var round = 0; round < 60 && served < 6; round++) {
+                var l = new java.util.ArrayList<Future<Integer>>();
+                for (var i : all) {
+                    var id = "lent" + round + "-" + i;
+                    l.add(pool.submit(() -> t.errand(i, "/r/stream", id, "X-Model: m\r\nX-Token-Usage: 10,40\r\n", "p").status));
+                }
+                for (var f : l) {
+                    served += f.get() == 200 ? 1 : 0;
+                }
+            }
+            var s = (System.nanoTime() - t0) / 1e9;
+            pool.shutdownNow();
+            assertTrue(served > 0, "it gets something");
+            assertTrue(c.ranAll() <= 2 * (s + 1), c.ranAll() + " in " + s + " s, 2 a second allowed");
+        }
+    }
+
     @Test
     void aColdReplicaGetsNoMoreThanItsShareHoweverManyComeAtOnce() throws Exception {
         try (var t = new Town(dir, 77, 3)) {
--- a/menu/src/main/java/martenloom/menu/route/RouteTable.java
+++ b/menu/src/main/java/martenloom/menu/route/RouteTable.java
@@ -46,6 +46,11 @@
         public long cacheTokens;
         public int stepSize = 1;
         public String model = "";
+
+        /** The sends that a cold replica may get in any one second, from all edges together. */
+        public int coldPerS(double overage, double slack) {
+            return (int) Math.floor(warmPerS * overage + slack);
+        }
     }
 
     public static final class Share {
--- a/newsstand/src/main/java/martenloom/newsstand/floor/Floor.java
+++ b/newsstand/src/main/java/martenloom/newsstand/floor/Floor.java
@@ -340,7 +340,7 @@
             return false;
         }
         if (!s.warm(now) && svc.warmPerS > 0) {
-            if (s.coldSends(now) + s.opening() >= rack.coldShare(r.id, now)) {
+            if (s.coldSends(now) + s.opening() >= coldShare(s, svc, now)) {
                 return false;
             }
         }
@@ -352,6 +352,12 @@
         return in < (svc.engine ? r.capacity * 1.5 : r.capacity * 2.5);
     }
 
+    /** An even share by the most edges ever, as long as that is one or more; past that, what the homes lent. */
+    private int coldShare(Rack.Slot s, RouteTable.Service svc, long now) {
+        var all = svc.coldPerS(props.bounds.warmOverage, props.bounds.warmSlack);
+        return edges <= all ? all / edges : rack.coldShare(s.row.id, now);
+    }
+
     private Pick best(List<Rack.Slot> slots, RouteTable.Service svc, Errand e, String region, long now) {
         var best = Optional.<Rack.Slot>empty();
         var cost = Double.MAX_VALUE;
--- a/pantry/src/main/java/martenloom/pantry/Pantry.java
+++ b/pantry/src/main/java/martenloom/pantry/Pantry.java
@@ -43,6 +43,8 @@
     private static final int FAR_TURNS = 5;
     private static final int QUIET_TURNS = 5;
     private static final long WANT_US = 350_000;
+    /** Edges use even shares up to as many edges as sends; homes lend only when there are clearly more, so that no two ways add up. */
+    private static final int LENT_APART = 4;
 
     private final Props props;
     private final Eventloop loop;
@@ -488,8 +490,8 @@
         var t = table(chain.committed());
         for (var id : cold) {
             var svc = book.replica(id).flatMap(r -> Optional.ofNullable(t.services.get(r.service)));
-            var all = svc.map(x -> (int) Math.floor(x.warmPerS * props.bounds.warmOverage + props.bounds.warmSlack)).orElse(0);
-            var n = warm.lend(id, e.ip, all / Math.max(mostHomes, homesHere()), homes.size(), now);
+            var all = svc.map(x -> x.coldPerS(props.bounds.warmOverage, props.bounds.warmSlack)).orElse(0);
+            var n = mostEdges <= all + LENT_APART ? 0 : warm.lend(id, e.ip, all / Math.max(mostHomes, homesHere()), homes.size(), now);
             if (n > 0) {
                 m.put(id, n);
             }
