A quiet replica is not held off longer and longer; tests of hold-off and of idle trust

Read from the code, not yet confirmed by a run: a replica reading a long prompt is quiet, and each such time doubled the time it was left alone. Only what cannot be reached is held off for longer now.

--- a/newsstand/src/main/java/martenloom/newsstand/floor/Floor.java
+++ b/newsstand/src/main/java/martenloom/newsstand/floor/Floor.java
@@ -851,7 +851,8 @@
         if (s.suspectUntilUs < now) {
             RingLog.note("replica " + s.row.id + " is quiet with " + s.legs.size() + " legs");
         }
-        s.hold(500_000, now);
+        s.suspectUntilUs = Math.max(s.suspectUntilUs, now + 500_000);
+        s.doubtful = true;
         for (var l : List.copyOf(s.legs)) {
             move(l, now);
         }
--- a/newsstand/src/main/java/martenloom/newsstand/rack/Rack.java
+++ b/newsstand/src/main/java/martenloom/newsstand/rack/Rack.java
@@ -86,8 +86,8 @@
         }
 
         /**
-         * Holds off a replica that could not be reached or went quiet. One that does so by turns is held off for twice as
-         * long each time, up to four times.
+         * Holds off a replica that could not be reached. One that is so by turns is held off for twice as long each time, up
+         * to four times. One that is only quiet may be busy, and is not held off longer for that.
          */
         public void hold(long baseUs, long now) {
             var since = now - heldAtUs;
--- /dev/null
+++ b/newsstand/src/test/java/martenloom/newsstand/rack/HoldTest.java
@@ -0,0 +1,49 @@
+package martenloom.newsstand.rack;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import martenloom.galley.fleet.*;
+import martenloom.galley.props.*;
+import org.junit.jupiter.api.*;
+
+/** A replica that goes down and up by turns is held off for twice as long each time, to a bound; a calm while forgets it. */
+final class HoldTest {
+    private static final Props PROPS = Props.parse("NodeName = \"e\"\nIpAddress = \"10.0.0.1\"\nZone = \"a\"\nRegion = \"g\"\nInternalPortRange = [1,2]\nSeedNodes = []\nServes = []\n[Zones]\na = \"g\"\n[ListenAddresses]\n");
+
+    private static Rack.Slot slot() {
+        var r = new Rows.Replica();
+        r.id = "i";
+        r.address = "10.0.0.9:80";
+        r.hall = "a";
+        r.seq = 1;
+        var rack = new Rack(PROPS);
+        rack.take(r);
+        return rack.slot("i").get();
+    }
+
+    @Test
+    void theHoldOffDoublesToABoundAndIsForgotten() {
+        var s = slot();
+        var now = 1_000_000_000L;
+        for (var times : new int[] {1, 2, 4, 4, 4}) {
+            s.hold(700_000, now);
+            s.hold(700_000, now + 1000);
+            assertEquals(now + 1000 + 700_000L * times, s.suspectUntilUs, "the same trouble counts once");
+            now += 3_000_000;
+        }
+        now += 20_000_000;
+        s.hold(700_000, now);
+        assertEquals(now + 700_000, s.suspectUntilUs);
+    }
+
+    @Test
+    void aConnectionForgottenEarlyShortensTheTrustAndNeverToNothing() {
+        var s = slot();
+        s.forgot(5_000_000);
+        assertEquals(3_000_000, s.idleTrustUs());
+        s.forgot(9_000_000);
+        assertEquals(3_000_000, s.idleTrustUs());
+        s.forgot(1);
+        assertEquals(200_000, s.idleTrustUs());
+    }
+}
