--- a/kiosk/src/test/java/martenloom/kiosk/town/Town.java
+++ b/kiosk/src/test/java/martenloom/kiosk/town/Town.java
@@ -31,6 +31,8 @@
     private final int net;
     private final List<String> seeds;
     private final Map<String, Eventloop> loops = new TreeMap<>();
+    private final Map<String, Thread> threads = new TreeMap<>();
+    private final Map<String, Disk> disks = new ConcurrentHashMap<>();
     private final Map<String, Newsstand> edges = new TreeMap<>();
     public final List<StandIn> replicas = new ArrayList<>();
     private final ScheduledExecutorService beats = Executors.newScheduledThreadPool(2, r -> {
@@ -71,17 +73,44 @@
         frozen.remove(ip).countDown();
     }
 
+    /** The disk of one life of a core daemon: once that life is killed, nothing of it writes on, whatever was under way. */
+    private static final class Disk {
+        private final Shelf.Folder real;
+        private boolean out;
+
+        Disk(String path) {
+            real = new Shelf.RealFolder(path);
+        }
+
+        synchronized void pull() {
+            out = true;
+        }
+
+        private synchronized Optional<Object> call(java.lang.reflect.Method m, Object[] a) throws Throwable {
+            try {
+                return out ? Optional.empty() : Optional.of(Optional.ofNullable(m.invoke(real, a)));
+            } catch (java.lang.reflect.InvocationTargetException e) {
+                throw e.getCause();
+            }
+        }
+
+        Object use(java.lang.reflect.Method m, Object[] a) throws Throwable {
+            var r = call(m, a);
+            if (r.isEmpty()) {
+                new CountDownLatch(1).await();
+            }
+            return ((Optional<?>) r.orElseThrow()).orElse(null);
+        }
+    }
+
     private Shelf.Folder folder(int i, String path) {
-        var real = new Shelf.RealFolder(path);
+        var d = new Disk(path);
+        disks.put(core(i), d);
         return (Shelf.Folder) java.lang.reflect.Proxy.newProxyInstance(Shelf.Folder.class.getClassLoader(), new Class<?>[] {Shelf.Folder.class}, (x, m, a) -> {
             if (m.getName().equals("writeSynced") && fullDisks.contains(i)) {
                 throw Fault.here(Fault.Code.DISK, "write", "no space left");
             }
-            try {
-                return m.invoke(real, a);
-            } catch (java.lang.reflect.InvocationTargetException e) {
-                throw e.getCause();
-            }
+            return d.use(m, a);
         });
     }
 
@@ -160,9 +189,10 @@
         t.start();
         up.join();
         loops.put(name, loop);
+        threads.put(name, t);
     }
 
-    /** Ends a program as a kill would: its sockets close and nothing of it runs on. */
+    /** Ends a program as a kill would: its sockets close, its thread has ended and its disk is no longer written. */
     public void kill(String ip) {
         var loop = loops.remove(ip);
         var down = new CompletableFuture<Boolean>();
@@ -179,6 +209,12 @@
             down.complete(true);
         });
         down.join();
+        try {
+            threads.remove(ip).join(10_000);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        Optional.ofNullable(disks.remove(ip)).ifPresent(Disk::pull);
     }
 
     public void wipe(int i) {
