--- a/kiosk/src/test/java/martenloom/kiosk/rig/Rig.java
+++ b/kiosk/src/test/java/martenloom/kiosk/rig/Rig.java
@@ -26,13 +26,13 @@
  * takes until it is in force at every edge. It starts nothing outside its own process and stops by itself.
  */
 public final class Rig {
-    private static final String USAGE = "rig --edges N[,N...] [--cores N] [--replicas N] [--halls N] [--regions N] [--models N] [--routes N] [--seconds N] [--changes N]";
+    private static final String USAGE = "rig --edges N[,N...] [--cores N] [--replicas N] [--halls N] [--regions N] [--models N] [--routes N] [--seconds N] [--changes N] [--pace MS] [--joins N] [--repeats N]";
     private static final int PORT = 27720;
     private static final int CONTROL = 28166;
     private static final int EDGE_THREADS = 4;
 
     /** What one run is made of. */
-    record Size(int edges, int cores, int replicas, int halls, int regions, int models, int routes, int seconds, int changes) {}
+    record Size(int edges, int cores, int replicas, int halls, int regions, int models, int routes, int seconds, int changes, int pace, int joins) {}
 
     /** What one run showed; rates are for one daemon of the role and one second. */
     static final class Seen {
@@ -60,6 +60,9 @@
     private final List<Long> coreThreads = new ArrayList<>();
     private final List<Long> edgeThreads = new ArrayList<>();
     private final List<Newsstand> edges = new ArrayList<>();
+    private final List<Long> pacedMs = new ArrayList<>();
+    private List<Eventloop> edgeLoops = List.of();
+    private int revision;
     private final AtomicBoolean over = new AtomicBoolean();
     private final List<Thread> beaters = new ArrayList<>();
 
@@ -97,7 +100,7 @@
 
     static List<Size> read(String[] a) {
         var o = new Options();
-        for (var n : List.of("edges", "cores", "replicas", "halls", "regions", "models", "routes", "seconds", "changes")) {
+        for (var n : List.of("edges", "cores", "replicas", "halls", "regions", "models", "routes", "seconds", "changes", "pace", "joins", "repeats")) {
             o.addOption(null, n, true, n);
         }
         CommandLine c;
@@ -112,9 +115,12 @@
         var l = new ArrayList<Size>();
         for (var w : c.getOptionValue("edges").split(",")) {
             var e = number("--edges", w, 1, 400);
-            l.add(new Size(e, of(c, "cores", 8, 3, 16), of(c, "replicas", Math.max(1, 2900 * e / 390), 1, 4000), of(c, "halls", Math.max(3, 71 * e / 390), 1, 100),
+            var z = new Size(e, of(c, "cores", 8, 3, 16), of(c, "replicas", Math.max(1, 2900 * e / 390), 1, 4000), of(c, "halls", Math.max(3, 71 * e / 390), 1, 100),
                 of(c, "regions", Math.max(3, 26 * e / 390), 1, 40), of(c, "models", Math.max(1, 12 * e / 390), 1, 20), of(c, "routes", 40, 1, 5000), of(c, "seconds", 10, 1, 120),
-                of(c, "changes", 5, 0, 100)));
+                of(c, "changes", 5, 0, 100), of(c, "pace", 0, 0, 60_000), of(c, "joins", 0, 0, 100));
+            for (var i = 0; i < of(c, "repeats", 1, 1, 20); i++) {
+                l.add(z);
+            }
         }
         return l;
     }
@@ -136,12 +142,12 @@
     }
 
     private static String head() {
-        return "edges cores replicas halls regions models routes | ready known heard | core: records/s KB/s cpu% head-cpu% | edge: records/s KB/s cpu% | heap MB | setup KB | change ms (median, worst) | core kinds (record:a second)";
+        return "edges cores replicas halls regions models routes pace joins | ready known heard | core: records/s KB/s cpu% head-cpu% | edge: records/s KB/s cpu% | heap MB | setup KB | change ms (median, worst) | core kinds (record:a second)";
     }
 
     private static String line(Size z, Seen s) {
         var l = s.changeMs.stream().sorted().toList();
-        return String.format(Locale.ROOT, "%d %d %d %d %d %d %d | %d %d %d | %.0f %.1f %.2f %.2f | %.1f %.2f %.3f | %.0f | %.1f | %s | %s", z.edges, z.cores, z.replicas, z.halls, z.regions, z.models, z.routes,
+        return String.format(Locale.ROOT, "%d %d %d %d %d %d %d %d %d | %d %d %d | %.0f %.1f %.2f %.2f | %.1f %.2f %.3f | %.0f | %.1f | %s | %s", z.edges, z.cores, z.replicas, z.halls, z.regions, z.models, z.routes, z.pace, z.joins,
             s.readyEdges, s.replicasKnown, s.edgesHeard, s.coreRecords, s.coreBytes / 1000, s.coreCpu * 100, s.headCpu * 100, s.edgeRecords, s.edgeBytes / 1000, s.edgeCpu * 100, s.heapMb,
             s.setupBytes / 1000, l.isEmpty() ? "-" : l.get(l.size() / 2) + ", " + l.get(l.size() - 1), s.coreKinds);
     }
@@ -303,23 +309,45 @@
             t.start();
             beaters.add(t);
         }
-        var ls = IntStream.range(0, EDGE_THREADS).mapToObj(i -> loop("edges-" + net + "-" + i, edgeThreads)).toList();
+        edgeLoops = IntStream.range(0, EDGE_THREADS).mapToObj(i -> loop("edges-" + net + "-" + i, edgeThreads)).toList();
         for (var i = 0; i < z.edges; i++) {
-            var p = props(edge(i), i, false);
-            var l = ls.get(i % EDGE_THREADS);
-            on(l, () -> {
-                var n = new Newsstand(p, l);
-                n.start();
-                edges.add(n);
-            });
+            join(i);
         }
-        change(0, 1);
+        change(0, ++revision);
         for (var e : edges) {
             e.whenReady().completeOnTimeout(false, 60, TimeUnit.SECONDS).join();
         }
         return look();
     }
 
+    private void join(int i) {
+        var p = props(edge(i), i, false);
+        var l = edgeLoops.get(i % EDGE_THREADS);
+        on(l, () -> {
+            var n = new Newsstand(p, l);
+            n.start();
+            edges.add(n);
+        });
+    }
+
+    /** What happens while it is looked at: changes of setup at a pace, and edges that join as replaced machines do. */
+    private void stir(long untilNs) throws IOException, InterruptedException {
+        var joined = 0;
+        var t0 = System.nanoTime();
+        var span = untilNs - t0;
+        var due = t0;
+        while (System.nanoTime() < untilNs) {
+            if (joined < z.joins && System.nanoTime() - t0 >= span * joined / z.joins) {
+                join(z.edges + joined++);
+            }
+            if (z.pace > 0 && System.nanoTime() >= due) {
+                due += z.pace * 1_000_000L;
+                pacedMs.add(change(revision, ++revision));
+            }
+            Thread.sleep(1);
+        }
+    }
+
     private long change(int base, int rev) throws IOException {
         var t0 = System.nanoTime();
         for (var i = 0; ; i++) {
@@ -375,7 +403,7 @@
         var k0 = coreKinds();
         var es = sent("edges", EDGE_THREADS);
         var t0 = System.nanoTime();
-        Thread.sleep(z.seconds * 1000L);
+        stir(t0 + z.seconds * 1_000_000_000L);
         var sec = (System.nanoTime() - t0) / 1e9;
         s.coreCpu = (cpu(coreThreads) - c0) / sec / z.cores;
         s.edgeCpu = (cpu(edgeThreads) - e0) / sec / z.edges;
@@ -392,8 +420,16 @@
         s.edgeRecords = (ee[0] - es[0]) / sec / z.edges;
         s.edgeBytes = (ee[1] - es[1]) / sec / z.edges;
         s.setupBytes = setup(2).length();
+        s.changeMs.addAll(pacedMs);
         for (var i = 0; i < z.changes; i++) {
-            s.changeMs.add(change(i + 1, i + 2));
+            s.changeMs.add(change(revision, ++revision));
+        }
+        for (var e : edges) {
+            e.whenReady().completeOnTimeout(false, 20, TimeUnit.SECONDS).join();
+        }
+        var end = System.nanoTime() + 10_000_000_000L;
+        while (edges.stream().anyMatch(e -> e.edgesHeard() < edges.size()) && System.nanoTime() < end) {
+            Thread.sleep(5);
         }
         s.readyEdges = (int) edges.stream().filter(e -> e.whenReady().getNow(false)).count();
         s.replicasKnown = edges.stream().mapToLong(e -> e.floor().rack.all().size()).min().orElse(0);
--- a/newsstand/src/main/java/martenloom/newsstand/Newsstand.java
+++ b/newsstand/src/main/java/martenloom/newsstand/Newsstand.java
@@ -34,8 +34,6 @@
     private static final long RENEW_US = 400_000;
     private static final long SAMPLE_US = 100_000;
     private static final long REPORT_US = 250_000;
-    private static final long REPORT_AGAIN_US = 700_000;
-    private static final int REPORT_STEP = 10;
     private static final long SCALE_US = 200_000;
     private static final long STALE_US = 1_200_000;
     private static final long SILENCE_US = 1_400_000;
@@ -54,7 +52,7 @@
     private final LoadView load;
     private final ScaleRunner scaler;
     private int edgesNow;
-    private final Map<String, Overload.Reporter> reporters = new TreeMap<>();
+    private final Reporting reporting;
     private final Map<String, Duty> duties = new TreeMap<>();
     private Optional<Links.Dial> home = Optional.empty();
     private String homeIp = "";
@@ -86,6 +84,7 @@
         this.loop = loop;
         rack = new Rack(p);
         floor = new Floor(loop, p, rack);
+        reporting = new Reporting(p, floor, this::tell);
         load = new LoadView(rack, floor, p.ip, life);
         scaler = new ScaleRunner(floor, p.region, scaling, (key, g, n, rest, receipt) ->
             askCore("SCALE", key, g, Stream.concat(Stream.of(n == ScaleRunner.ALL ? "all" : String.valueOf(n)), rest.stream()).collect(Collectors.joining("\n")), receipt));
@@ -412,64 +411,13 @@
 
     private void report() {
         var now = Clocks.nowUs();
+        var held = new TreeMap<String, Long>();
         duties.forEach((key, d) -> {
-            if (key.equals(jobDuty()) || key.equals(scaleDuty())) {
-                return;
-            }
-            if (now < d.untilUs) {
-                var r = reporters.computeIfAbsent(key, k -> new Overload.Reporter());
-                r.granted(d.grant);
-                var i = key.indexOf('/');
-                r.observe(key.substring(0, i), key.substring(i + 1), props.ip, pressure(key.substring(i + 1), now)).filter(x -> due(x, now)).ifPresent(this::tell);
-            } else {
-                reporters.remove(key);
+            if (now < d.untilUs && !key.equals(jobDuty()) && !key.equals(scaleDuty())) {
+                held.put(key, d.grant);
             }
         });
-    }
-
-    private record Told(int percent, long atUs) {}
-
-    private final Map<String, Told> toldReports = new HashMap<>();
-
-    /** A report goes out when it says something else by enough, ends, or must be said again well within its validity. */
-    private boolean due(Overload.Report r, long now) {
-        var t = toldReports.getOrDefault(r.key(), new Told(0, 0));
-        if (r.percent() > 0 && Math.abs(r.percent() - t.percent) < REPORT_STEP && now - t.atUs < REPORT_AGAIN_US) {
-            return false;
-        }
-        toldReports.put(r.key(), new Told(r.percent(), now));
-        return true;
-    }
-
-    /** Predicted time to a first token of a new, cold prompt of usual size at this region's replicas, against the aim. */
-    private double pressure(String model, long now) {
-        var aim = Long.MAX_VALUE;
-        var t = floor.table();
-        for (var r : t.routes) {
-            var s = r.shares.isEmpty() ? null : t.services.get(r.shares.get(0).service);
-            if (s != null && s.engine && s.model.equals(model) && r.aimUs > 0) {
-                aim = Math.min(aim, r.aimUs);
-            }
-        }
-        var sum = 0.0;
-        var n = 0;
-        var known = 0;
-        for (var s : rack.all()) {
-            var svc = t.services.get(s.row.service);
-            if (svc == null || !svc.engine || !svc.model.equals(model) || !s.region.equals(props.region)) {
-                continue;
-            }
-            known++;
-            if (s.row.gone || s.row.draining || s.row.silent || s.resting || floor.evacuated().contains(s.row.hall)) {
-                continue;
-            }
-            var in = s.mine + s.othersInHand(now);
-            var cap = Math.max(1, s.row.capacity);
-            var us = 20_000 + (s.unread + s.othersUnread(now)) / s.rate * 1000 + in * 700.0 + (in > cap ? (in - cap) * 15_000.0 : 0);
-            sum += now < s.suspectUntilUs ? aim : us;
-            n++;
-        }
-        return known == 0 ? 0 : n == 0 ? 4 : sum / n / aim;
+        reporting.tick(held, now);
     }
 
     /** The home passes a report on to the edges elsewhere, by their homes. */
@@ -524,7 +472,7 @@
             case "counters" -> {
                 var c = floor.counters;
                 b.append(String.format("errands %d served %d refused %d failed %d repeats %d spilled %d timeouts %d moved %d jobs %d in-hand %d connections %d edges %d\n", c.errands, c.served,
-                    c.refused, c.failed, c.repeats, c.spilled, c.timeouts, c.moved, c.jobs, floor.inHand(), floor.connections(), floor.edges()));
+                    c.refused, c.failed, c.repeats, floor.spilled(), c.timeouts, c.moved, c.jobs, floor.inHand(), floor.connections(), floor.edges()));
             }
             case "overload" -> floor.reports.states().forEach((k, s) -> {
                 floor.reports.tick(s, now);
--- /dev/null
+++ b/newsstand/src/main/java/martenloom/newsstand/floor/Chooser.java
@@ -0,0 +1,321 @@
+package martenloom.newsstand.floor;
+
+import java.util.*;
+import martenloom.galley.clock.*;
+import martenloom.galley.props.*;
+import martenloom.menu.route.*;
+import martenloom.newsstand.overload.*;
+import martenloom.newsstand.rack.*;
+import martenloom.newsstand.scaling.*;
+
+/**
+ * The owner of the question which replica an errand goes to: the table of routes, who is evacuated or rests, the shares
+ * of what all edges may do together, homes, kept parts, predicted times, and the overload reports in force. It changes
+ * nothing but counts of what was kept away; the floor acts on its answer.
+ */
+final class Chooser {
+    static final int LARGE = 1000;
+    private static final int LARGE_KIND = 2000;
+    private static final double CROWD = 0.5;
+    private static final int CROWD_LEAST = 20;
+    private static final double AFFINITY_US = 15_000;
+    private static final double[] JOB_FILL = {0.4, 0.6, 0.8, 1.0};
+    private static final double[] JOB_TIME = {0.35, 0.6, 1.0, 4.0};
+
+    private final Props props;
+    private final Rack rack;
+    private final Places places;
+    private final Overload.Receiver reports;
+    private RouteTable table = RouteTable.EMPTY;
+    private Set<String> evacuated = Set.of();
+    private Map<String, ScaleRunner.Placed> placed = Map.of();
+    private int edges = 1;
+    private int turn = new Random().nextInt(1 << 20);
+    private long spilled;
+
+    Chooser(Props p, Rack rack, Places places, Overload.Receiver reports) {
+        props = p;
+        this.rack = rack;
+        this.places = places;
+        this.reports = reports;
+    }
+
+    RouteTable table() {
+        return table;
+    }
+
+    long spilled() {
+        return spilled;
+    }
+
+    void onTable(RouteTable t) {
+        table = t;
+        markResting();
+    }
+
+    void onPlaced(Map<String, ScaleRunner.Placed> p) {
+        placed = p;
+        markResting();
+    }
+
+    private void markResting() {
+        rack.all().forEach(this::markResting);
+    }
+
+    void markResting(Rack.Slot s) {
+        var svc = Optional.ofNullable(table.services.get(s.row.service)).filter(x -> x.engine);
+        var p = svc.flatMap(x -> Optional.ofNullable(placed.get(s.region + "/" + x.model)));
+        s.resting = p.isPresent() && (p.get().pinned() || p.get().resting().contains(s.row.id));
+    }
+
+    /** Whether everything that could serve this errand rests: then it may wait for one to be woken. */
+    boolean asleep(Errand e) {
+        if (placed.isEmpty()) {
+            return false;
+        }
+        var l = rack.of(e.service).stream().filter(s -> e.route.allows(s.region) && !s.row.draining && !s.row.silent && !evacuated.contains(s.row.hall)).toList();
+        return !l.isEmpty() && l.stream().allMatch(s -> s.resting);
+    }
+
+    void onEvacuated(Set<String> halls, long now) {
+        for (var s : rack.all()) {
+            if (evacuated.contains(s.row.hall) && !halls.contains(s.row.hall)) {
+                var w = Optional.ofNullable(table.services.get(s.row.service)).map(x -> x.warmUs).orElse(0L);
+                s.coldFloorUs = w == 0 ? 0 : now + w + 1_500_000;
+            }
+        }
+        evacuated = Set.copyOf(halls);
+    }
+
+    void onEdges(int n) {
+        edges = Math.max(1, n);
+    }
+
+    int edges() {
+        return edges;
+    }
+
+    Set<String> evacuated() {
+        return evacuated;
+    }
+
+    // ---- room for deferred jobs
+
+    /** Whether some replica has room to spare for a job of this urgency, past what interactive errands need. */
+    boolean jobRoom(String route, int urgency) {
+        var r = table.routes.stream().filter(x -> x.name.equals(route)).findFirst();
+        return r.isPresent() && r.get().shares.stream().anyMatch(s -> rack.of(s.service).stream().anyMatch(x -> jobRoom(x, r.get(), urgency, Clocks.nowUs())));
+    }
+
+    private boolean jobRoom(Rack.Slot s, RouteTable.Route r, int urgency, long now) {
+        var in = s.mine + s.othersInHand(now);
+        var ahead = (s.unread + s.othersUnread(now)) / s.rate * 1000;
+        return r.allows(s.region) && !s.row.draining && !s.row.silent && !s.row.gone && now >= s.suspectUntilUs && !evacuated.contains(s.row.hall)
+            && (s.warm(now) || urgency > 2) && in < Math.max(1, s.row.capacity * JOB_FILL[urgency]) && ahead < r.aimUs * JOB_TIME[urgency];
+    }
+
+    // ---- choice
+
+    private static final class Pick {
+        final Optional<Rack.Slot> slot;
+        final double costUs;
+
+        Pick(Optional<Rack.Slot> s, double c) {
+            slot = s;
+            costUs = c;
+        }
+    }
+
+    private boolean usable(Rack.Slot s, RouteTable.Service svc, Errand e, long now) {
+        var r = s.row;
+        if (r.gone || r.draining || r.silent || r.leavesAtUs != Long.MAX_VALUE || evacuated.contains(r.hall) || e.tried.contains(r.id)) {
+            return false;
+        }
+        if (s.resting) {
+            return false;
+        }
+        if (e.deferred > 0 && !jobRoom(s, e.route, e.deferred - 1, now)) {
+            return false;
+        }
+        if (now < s.suspectUntilUs || now < s.fullUntilUs || s.othersDoubt(now) || s.fitness.state(now) == Fitness.State.ASIDE) {
+            return false;
+        }
+        if (s.doubtful && s.mine > 0) {
+            return false;
+        }
+        if (!s.warm(now) && svc.warmPerS > 0) {
+            if (s.coldSends(now) + s.opening() >= coldShare(s, svc, now)) {
+                return false;
+            }
+        }
+        var conns = Math.max(1, (int) (svc.maxConnections * 0.95 / edges));
+        if (s.idle.isEmpty() && s.open >= conns) {
+            return false;
+        }
+        var in = s.mine + s.othersInHand(now);
+        return in < (svc.engine ? r.capacity * 1.5 : r.capacity * 2.5);
+    }
+
+    /** An even share by the most edges ever, as long as that is one or more; past that, what the homes lent. */
+    private int coldShare(Rack.Slot s, RouteTable.Service svc, long now) {
+        var all = svc.coldPerS(props.bounds.warmOverage, props.bounds.warmSlack);
+        return edges <= all ? all / edges : rack.coldShare(s.row.id, now);
+    }
+
+    private Pick best(List<Rack.Slot> slots, RouteTable.Service svc, Errand e, String region, long now) {
+        var best = Optional.<Rack.Slot>empty();
+        var cost = Double.MAX_VALUE;
+        var bonus = svc.engine && e.sizes.size() > 1 ? topOf(slots, e, region) : Optional.<Rack.Slot>empty();
+        for (var s : slots) {
+            if (!s.region.equals(region) || !usable(s, svc, e, now) || crowded(s, svc, e, now)) {
+                continue;
+            }
+            var c = rack.predict(s, svc, e, false, now) + s.farUs + s.fitness.costUs(now) - (bonus.isPresent() && bonus.get() == s ? AFFINITY_US : 0);
+            if (c < cost) {
+                cost = c;
+                best = Optional.of(s);
+            }
+        }
+        return new Pick(best, cost);
+    }
+
+    /**
+     * Reading a large prompt slows every stream of its replica, so kinds of large prompts stay off replicas that are
+     * well filled: half of their places or 20, whichever is more, for small batches are not slowed so soon. The measure is the kind's usual size: the largest of a kind are not kept out before the others.
+     */
+    private boolean crowded(Rack.Slot s, RouteTable.Service svc, Errand e, long now) {
+        var most = Math.max(s.row.capacity * CROWD, Math.min(s.row.capacity - 2, CROWD_LEAST));
+        return svc.engine && rack.usual(e.route) >= LARGE_KIND && s.mine + s.othersInHand(now) > most;
+    }
+
+    static String sharedPart(Errand e) {
+        return e.parts.get(e.parts.size() - 2);
+    }
+
+    private static int weight(Errand e, Rack.Slot s) {
+        return mix(sharedPart(e).hashCode() * 31 + s.row.id.hashCode());
+    }
+
+    /** The replica of a region that the shared parts of a prompt belong to, the same at every edge. */
+    private static Optional<Rack.Slot> topOf(List<Rack.Slot> slots, Errand e, String region) {
+        var best = Optional.<Rack.Slot>empty();
+        var top = Integer.MIN_VALUE;
+        for (var s : slots) {
+            if (s.region.equals(region) && !s.row.draining && !s.row.silent && !s.resting) {
+                var h = weight(e, s);
+                if (h > top) {
+                    top = h;
+                    best = Optional.of(s);
+                }
+            }
+        }
+        return best;
+    }
+
+    /**
+     * Large shared parts belong to one replica of all allowed regions, so that each is read once: the one where some
+     * edge last sent it, then those by hash, the same at every edge; the first that is usable and has room is taken. Reports in force keep a share away as ever.
+     */
+    private Optional<Rack.Slot> keeper(List<Rack.Slot> slots, RouteTable.Service svc, Errand e, double room, List<String> keptAway, long now) {
+        var l = new ArrayList<Rack.Slot>();
+        for (var s : slots) {
+            if (e.route.allows(s.region) && !s.row.draining && !s.row.silent && !s.resting) {
+                l.add(s);
+            }
+        }
+        l.sort(Comparator.comparingInt((Rack.Slot s) -> weight(e, s)).reversed());
+        places.keeper(sharedPart(e)).flatMap(rack::slot).filter(l::remove).ifPresent(s -> l.add(0, s));
+        var least = l.stream().filter(s -> usable(s, svc, e, now)).mapToInt(s -> s.mine + s.othersInHand(now)).min().orElse(0);
+        for (var i = 0; i < Math.min(3, l.size()); i++) {
+            var s = l.get(i);
+            var in = s.mine + s.othersInHand(now);
+            if (!usable(s, svc, e, now) || crowded(s, svc, e, now) || in > 16 + least * 2 || rack.predict(s, svc, e, i == 0, now) > room) {
+                continue;
+            }
+            var away = !s.region.equals(props.region);
+            var k = s.region + "/" + svc.model;
+            if (away && e.sent == 0 && !keptAway.contains(k) && reports.select(k, now)) {
+                keptAway.add(k);
+            }
+            if (!away || !keptAway.contains(k)) {
+                return Optional.of(s);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static int mix(int x) {
+        x ^= x >>> 16;
+        x *= 0x7feb352d;
+        x ^= x >>> 15;
+        x *= 0x846ca68b;
+        return x ^ x >>> 16;
+    }
+
+    private List<String> regions(List<Rack.Slot> slots, Errand e) {
+        var l = new ArrayList<String>();
+        for (var s : slots) {
+            if (!l.contains(s.region) && e.route.allows(s.region)) {
+                l.add(s.region);
+            }
+        }
+        Collections.rotate(l, turn++);
+        if (l.remove(props.region)) {
+            l.add(0, props.region);
+        }
+        return l;
+    }
+
+    /** Own region first while it has room; then, past the reports in force, the allowed region with the most room. */
+    Optional<Rack.Slot> choose(Errand e, long now) {
+        var svc = Optional.ofNullable(table.services.get(e.service)).orElseGet(RouteTable.Service::new);
+        var slots = rack.of(e.service);
+        var room = e.route.aimUs * 0.7 - (now - e.arrivedUs);
+        var fallback = new Pick(Optional.empty(), Double.MAX_VALUE);
+        var keptAway = new ArrayList<String>();
+        if (svc.engine && e.sharedTokens() >= LARGE) {
+            var k = keeper(slots, svc, e, room, keptAway, now);
+            if (k.isPresent()) {
+                return chosen(new Pick(k, 0), keptAway, !k.get().region.equals(props.region));
+            }
+        }
+        var home = regions(slots, e);
+        for (var g : home) {
+            var away = !g.equals(props.region);
+            var p = best(slots, svc, e, g, now);
+            if (p.slot.isEmpty()) {
+                continue;
+            }
+            var k = g + "/" + svc.model;
+            if (away && keptAway.contains(k)) {
+                continue;
+            }
+            if (away && e.sent == 0 && svc.engine && reports.select(k, now)) {
+                keptAway.add(k);
+                continue;
+            }
+            if (p.costUs < room && (!away || home.contains(props.region))) {
+                return chosen(p, keptAway, away);
+            }
+            if (p.costUs < fallback.costUs) {
+                fallback = p;
+            }
+        }
+        if (fallback.slot.isPresent() && fallback.costUs < Math.min(e.route.aimUs * 1.5, (e.deadlineUs - now) * 0.6)) {
+            return chosen(fallback, keptAway, !fallback.slot.get().region.equals(props.region));
+        }
+        if (e.keptAway.isEmpty()) {
+            keptAway.forEach(k -> reports.at(k).held++);
+        }
+        e.keptAway = keptAway;
+        return Optional.empty();
+    }
+
+    private Optional<Rack.Slot> chosen(Pick p, List<String> keptAway, boolean away) {
+        keptAway.forEach(k -> reports.at(k).spilled++);
+        if (away) {
+            spilled++;
+        }
+        return p.slot;
+    }
+}
--- a/pantry/src/main/java/martenloom/pantry/Pantry.java
+++ b/pantry/src/main/java/martenloom/pantry/Pantry.java
@@ -18,11 +18,12 @@
 import martenloom.galley.jobs.*;
 import martenloom.galley.tally.*;
 import martenloom.menu.language.*;
-import martenloom.menu.placement.*;
 import martenloom.menu.route.*;
 import martenloom.pantry.chain.*;
 import martenloom.pantry.desk.*;
 import martenloom.pantry.disk.*;
+import martenloom.pantry.duty.*;
+import martenloom.pantry.placement.*;
 import martenloom.pantry.registry.*;
 import martenloom.pantry.state.*;
 import martenloom.pantry.tally.*;
@@ -52,6 +53,7 @@
     private final ChainCore chain;
     private final FleetBook book;
     private final DutyDesk duties;
+    private final PlacementDesk placement;
     private final Map<String, Links.Dial> dials = new TreeMap<>();
     private final Map<String, Links.Link> homes = new LinkedHashMap<>();
     private final Map<Long, BiConsumer<Integer, String>> asked = new HashMap<>();
@@ -85,7 +87,8 @@
         chain.onAway(shelf.awayUs());
         book = new FleetBook(p.beatMs * 1000L);
         chain.onLeastRoster(2 * Math.max(1, p.tolerateMachines) + 1);
-        chain.onSurvey(() -> placement().text());
+        placement = new PlacementDesk(p, chain, book, this::table);
+        chain.onSurvey(() -> placement.now().text());
         duties = new DutyDesk(chain, this::askHere);
         var known = shelf.note(MEMO).map(this::remember).orElse(0);
         warm = new WarmSlots(Clocks.nowUs(), kept.isEmpty() && p.bootstrap);
@@ -193,7 +196,7 @@
             shelf.noteLater(MEMO, book.memo(mostEdges, mostHomes, Clocks.nowUs()));
         }
         warm.sweep(Clocks.nowUs());
-        watchExposure(Clocks.nowUs());
+        placement.watch(Clocks.nowUs());
         var b = book.digests();
         var up = dials.values().stream().filter(d -> d.link().isPresent()).toList();
         if (!up.isEmpty()) {
@@ -209,54 +212,6 @@
         return 1 + (int) regions.entrySet().stream().filter(e -> e.getValue().equals(props.region) && !e.getKey().equals(props.ip)).count();
     }
 
-    // ---- placement
-
-    /** What is registered and would run now, those that rest by order among them. */
-    private Placement placement() {
-        var p = new Placement();
-        var ev = chain.committed().evacuated;
-        for (var r : book.replicas()) {
-            if (!r.gone && !r.draining && !r.silent && !ev.contains(r.hall)) {
-                p.put(r.service, props.regionOf(r.hall), r.id);
-            }
-        }
-        return p;
-    }
-
-    private SortedSet<Placement.Finding> exposure() {
-        var s = chain.committed();
-        var t = table(s);
-        return CoreState.rested(placement(), t, s.scales).findings(t);
-    }
-
-    private Set<Placement.Finding> exposed = Set.of();
-
-    /** The head says once what has become exposed, whoever brought it about: an order of the operator, a crash, a loss. */
-    private void watchExposure(long now) {
-        if (!chain.heading() || now - chain.headingSinceUs() < 4_000_000 || chain.committed().revision == 0) {
-            return;
-        }
-        var f = exposure();
-        f.stream().filter(x -> !exposed.contains(x)).forEach(x -> RingLog.say("exposure: " + x.text()));
-        exposed.stream().filter(x -> !f.contains(x)).forEach(x -> RingLog.note("exposure ended: " + x.text()));
-        exposed = f;
-    }
-
-    /** What an operator's order would bring, without giving it. */
-    private String would(String key, String order) {
-        var s = chain.committed();
-        var t = table(s);
-        var to = new TreeMap<>(s.scales);
-        if (order.equals("unload")) {
-            to.put(key, new CoreState.Scale(0, true, 0, Set.of()));
-        } else {
-            to.remove(key);
-        }
-        var p = placement();
-        var bad = Placement.added(CoreState.rested(p, t, s.scales), CoreState.rested(p, t, to), t);
-        return bad.isEmpty() ? "ok: nothing is stranded\n" : String.join("\n", bad.stream().map(Placement.Finding::text).toList()) + "\n";
-    }
-
     // ---- sums of load
 
     private void sum() {
@@ -608,10 +563,10 @@
         var b = new StringBuilder();
         var words = q.split(" ");
         if (words.length == 3 && words[0].equals("would") && (words[2].equals("unload") || words[2].equals("load"))) {
-            return would(words[1], words[2]);
+            return placement.would(words[1], words[2]);
         }
         switch (q) {
-            case "exposure" -> exposure().forEach(f -> b.append(f.text()).append('\n'));
+            case "exposure" -> placement.exposure().forEach(f -> b.append(f.text()).append('\n'));
             case "scaling" -> chain.committed().scales.forEach((k, x) -> b.append(String.format("%s desired %d%s grant %d resting %s\n", k, x.desired(),
                 x.pinned() ? " unloaded by the operator" : "", x.grant(), x.resting())));
             case "members" -> book.members(now).forEach(e -> b.append(String.format("%s %s %s %s%s revision %d lease-age %d ms\n", e.ip, e.name, e.hall,
@@ -631,71 +586,4 @@
         }
         return b.toString();
     }
-
-    /** The duty leases, kept by the head: a grant is written through the chain, a renewal needs a pulse that came after it. */
-    public static final class DutyDesk {
-        public static final long LEASE_US = 2_500_000;
-        private static final long WAIT_US = 3_200_000;
-
-        private record Want(String key, String holder, long stamp, Links.Link link, long atUs) {}
-
-        private final ChainCore chain;
-        private final ControlDesk.HandOver ask;
-        private final Map<String, Want> wants = new TreeMap<>();
-        private final Map<String, Long> renewed = new HashMap<>();
-        private final Set<String> writing = new HashSet<>();
-
-        private DutyDesk(ChainCore c, ControlDesk.HandOver ask) {
-            chain = c;
-            this.ask = ask;
-        }
-
-        private void want(String key, String holder, long stamp, Links.Link l) {
-            var d = Optional.ofNullable(chain.committed().duties.get(key));
-            var held = wants.get(key);
-            if (held != null && d.isPresent() && held.holder.equals(d.get().holder) && !holder.equals(held.holder)) {
-                return;
-            }
-            wants.put(key, new Want(key, holder, stamp, l, Clocks.nowUs()));
-        }
-
-        private void tick(long now) {
-            if (!chain.heading()) {
-                wants.clear();
-                renewed.clear();
-                return;
-            }
-            for (var w : List.copyOf(wants.values())) {
-                var d = Optional.ofNullable(chain.committed().duties.get(w.key));
-                if (d.isPresent() && d.get().holder.equals(w.holder)) {
-                    if (chain.provenUs() > w.atUs) {
-                        renewed.put(w.key, now);
-                        wants.remove(w.key);
-                        grant(w, d.get().grant);
-                    }
-                } else if (d.isEmpty() || now - Math.max(renewed.getOrDefault(w.key, 0L), chain.headingSinceUs()) > WAIT_US) {
-                    wants.remove(w.key);
-                    write(w);
-                } else if (now - w.atUs > LEASE_US) {
-                    wants.remove(w.key);
-                }
-            }
-        }
-
-        private void write(Want w) {
-            if (writing.add(w.key)) {
-                ask.ask(new CoreState.Change(CoreState.Act.DUTY, 0, w.key, w.holder), (s, t) -> {
-                    writing.remove(w.key);
-                    if (s == 200) {
-                        renewed.put(w.key, Clocks.nowUs());
-                        grant(w, Long.parseLong(t));
-                    }
-                });
-            }
-        }
-
-        private static void grant(Want w, long g) {
-            w.link.send(new Rec.Out(Rows.DUTY_GRANT).text(w.holder).text(w.key).i64(g).i64(w.stamp).i64(LEASE_US).bytes());
-        }
-    }
 }
