Edges count kept parts at their keeper, know how long streams pause, and ask the hall

It counted the whole prompt as unread at the keeper, so the sums overstated what waits and the keeper was refused; read rates stayed at their first value; a stream that paused for 450 ms while others were read made its replica suspect for the whole hall. So shared parts were read again, which fed itself. Ruled out: places not told (they were), cold shares, connection shares, crowding.

--- a/galley/src/main/java/martenloom/galley/tally/Tally.java
+++ b/galley/src/main/java/martenloom/galley/tally/Tally.java
@@ -6,7 +6,7 @@
 /**
  * What edges see of the replicas' load, as it is added up on its way: an edge tells its own part to its home, the homes
  * add up the parts of their edges and tell each other the sums, and every edge gets the whole. Legs in hand, tokens
- * waiting to be read, doubts, and good and bad answers of late are kept by replica; errands in flight by region and model, with the number of edges
+ * waiting to be read, doubts and who heard it, and good and bad answers of late are kept by replica; errands in flight by region and model, with the number of edges
  * that were heard.
  */
 public final class Tally {
@@ -15,6 +15,8 @@
         public int inHand;
         public int unread;
         public int doubts;
+        /** Edges that heard it say something just now. */
+        public int heard;
         public int ok;
         public int bad;
 
@@ -22,12 +24,13 @@
             inHand += sign * o.inHand;
             unread += sign * o.unread;
             doubts += sign * o.doubts;
+            heard += sign * o.heard;
             ok += sign * o.ok;
             bad += sign * o.bad;
         }
 
         private boolean nothing() {
-            return inHand == 0 && unread == 0 && doubts == 0 && ok == 0 && bad == 0;
+            return inHand == 0 && unread == 0 && doubts == 0 && heard == 0 && ok == 0 && bad == 0;
         }
     }
 
@@ -92,13 +95,14 @@
         return this;
     }
 
-    /** The replicas that are doubted or of which some answers were bad, with that and nothing else. */
+    /** The replicas that are doubted or of which some answers were bad, with that, who heard them, and nothing else. */
     public Tally doubtful() {
         var t = new Tally();
         loads.forEach((k, l) -> {
             if (l.bad > 0 || l.doubts > 0) {
                 var x = t.put(k, 0, 0, false);
                 x.doubts = l.doubts;
+                x.heard = l.heard;
                 x.ok = l.ok;
                 x.bad = l.bad;
             }
@@ -109,7 +113,7 @@
     public Rec.Out write(Rec.Out o) {
         o.i32(edges).list(loads.entrySet(), (w, e) -> {
             var l = e.getValue();
-            w.text(e.getKey()).i32(l.inHand).i32(l.unread).u8(Math.min(255, l.doubts)).i16(l.ok).i16(l.bad);
+            w.text(e.getKey()).i32(l.inHand).i32(l.unread).u8(Math.min(255, l.doubts)).u8(Math.min(255, l.heard)).i16(l.ok).i16(l.bad);
         });
         return o.list(flights.entrySet(), (w, e) -> w.text(e.getKey()).i32(e.getValue()));
     }
@@ -122,6 +126,7 @@
             l.inHand = x.i32();
             l.unread = x.i32();
             l.doubts = x.u8();
+            l.heard = x.u8();
             l.ok = x.i16();
             l.bad = x.i16();
             return l;
--- /dev/null
+++ b/kiosk/src/test/java/martenloom/kiosk/KeeperTest.java
@@ -0,0 +1,79 @@
+package martenloom.kiosk;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.nio.file.*;
+import java.util.concurrent.*;
+import martenloom.kiosk.town.*;
+import org.junit.jupiter.api.*;
+import org.junit.jupiter.api.io.*;
+
+/**
+ * Large shared parts stay where they were read, however many edges ask for them: an edge that never sent the part there
+ * counts only what the replica must still read, and a stream that pauses while much is read is not taken for lost.
+ */
+final class KeeperTest {
+    @TempDir
+    Path dir;
+
+    private static String large(String own, int tokens) {
+        return "X-Model: m\r\nX-Token-Usage: " + (12_000 + tokens) + ",40\r\nX-Prompt-Prefix: aa:12000," + own + ":" + tokens + "\r\n";
+    }
+
+    @Test
+    void anEdgeThatNeverSentThePartCountsOnlyTheOwnPartAtItsKeeper() {
+        try (var t = new Town(dir, 84, 3)) {
+            t.replica("i-a", "plain", 0);
+            var all = java.util.List.of(t.replica("i-m0", "model", 0), t.replica("i-m1", "model", 1), t.replica("i-m2", "model", 2));
+            t.startEdge(0);
+            t.startEdge(1);
+            assertEquals(200, t.order("POST /configuration/replace", "0", Town.setup(3, "")));
+            t.awaitReady(0, 1);
+            all.forEach(r -> {
+                t.askUntil(t.edge(0), "replicas", r.id);
+                t.askUntil(t.edge(1), "replicas", r.id);
+            });
+            assertEquals(200, t.errand(0, "/r/stream", "first", large("b0", 300), "p").status);
+            var keeper = all.stream().filter(r -> r.ran("first") == 1).findFirst().orElseThrow();
+            assertTrue(t.askUntil(t.edge(1), "places", "aa at").contains("aa at " + keeper.id), "the other edge is told");
+            for (var i = 0; i < 6; i++) {
+                assertEquals(200, t.errand(1, "/r/stream", "again" + i, large("c" + i, 300), "p").status);
+                assertEquals(1, keeper.ran("again" + i), "it is not read anew elsewhere");
+            }
+            keeper.mode = StandIn.Mode.STALL;
+            var late = CompletableFuture.supplyAsync(() -> t.errand(1, "/r/halts", "halts", large("d", 300), "p"));
+            assertTrue(t.askUntil(t.edge(1), "replicas", " unread 300 ").contains(keeper.id + " model " + keeper.hall + " in-hand 1 others 0 unread 300 "));
+            keeper.mode = StandIn.Mode.WELL;
+            assertEquals(200, late.join().status, "and goes on at another replica");
+        }
+    }
+
+    @Test
+    void aStreamMayPauseForAsLongAsOthersAreRead() throws Exception {
+        try (var t = new Town(dir, 85, 3)) {
+            t.replica("i-a", "plain", 0);
+            var m = t.replica("i-m", "model", 0);
+            var n = t.replica("i-n", "model", 0);
+            t.mute(n);
+            t.startEdge(0);
+            assertEquals(200, t.order("POST /configuration/replace", "0", Town.setup(3, "")));
+            t.awaitReady(0);
+            t.askUntil(t.edge(0), "replicas", "i-m");
+            m.mode = StandIn.Mode.STALL;
+            var big = CompletableFuture.supplyAsync(() -> t.errand(0, "/r/halts", "big", "X-Model: m\r\nX-Token-Usage: 16000,40\r\n", "p"));
+            t.askUntil(t.edge(0), "replicas", "unread 16000");
+            var t0 = System.nanoTime();
+            var stream = CompletableFuture.supplyAsync(() -> t.errand(0, "/r/stream", "pauses", "X-Model: m\r\nX-Token-Usage: 10,40\r\n", "p"));
+            while (!m.stalled.contains("pauses") && System.nanoTime() - t0 < 10_000_000_000L) {
+                Thread.onSpinWait();
+            }
+            var at = System.nanoTime();
+            t.unmute(n);
+            assertEquals(200, stream.join().status);
+            var ms = (System.nanoTime() - at) / 1_000_000;
+            assertEquals(1, n.ran("pauses"), "in the end it is");
+            assertTrue(ms >= 1000, "moved after " + ms + " ms, though 16000 tokens were to be read first");
+            assertEquals(200, big.join().status);
+        }
+    }
+}
--- a/newsstand/src/main/java/martenloom/newsstand/LoadView.java
+++ b/newsstand/src/main/java/martenloom/newsstand/LoadView.java
@@ -15,6 +15,7 @@
 final class LoadView {
     private static final int TOLD = 32;
     private static final int QUIET_TURNS = 5;
+    private static final long HEARD_US = 250_000;
 
     private final Rack rack;
     private final Floor floor;
@@ -46,13 +47,14 @@
     Optional<byte[]> part(long now) {
         var t = Tally.ofEdge();
         for (var s : rack.all()) {
-            var doubt = s.suspectUntilUs > now && s.doubtful;
+            var doubt = s.suspectUntilUs > now && s.doubtful || s.wondering;
             var bad = s.fitness.bad(now);
             var ok = s.fitness.ok(now);
             if (s.mine > 0 || doubt || bad + ok > 0) {
                 var l = t.put(s.row.id, s.mine, s.unread, doubt);
                 l.ok = ok;
                 l.bad = bad;
+                l.heard = !doubt && now - s.heardUs < HEARD_US ? 1 : 0;
             }
         }
         floor.inFlight(t);
@@ -81,7 +83,7 @@
             var a = whole.load(s.row.id);
             var m = mine.load(s.row.id);
             var h = hall.load(s.row.id);
-            s.others(a.inHand - m.inHand, a.unread - m.unread, h.doubts - m.doubts, now);
+            s.others(a.inHand - m.inHand, a.unread - m.unread, h.doubts - m.doubts, h.heard - m.heard, now);
             if (a.bad > 0) {
                 rack.judge(s, a.ok, a.bad, h.ok, h.bad, now);
             }
--- a/newsstand/src/main/java/martenloom/newsstand/Newsstand.java
+++ b/newsstand/src/main/java/martenloom/newsstand/Newsstand.java
@@ -488,9 +488,10 @@
             case "home" -> b.append(homeIp).append(ready ? " ready" : " not ready").append(" edition ").append(edition).append(" revision ").append(revision).append('\n');
             case "jobs" -> b.append(jobs.text());
             case "scaling" -> b.append(scaler.text(now));
+            case "places" -> b.append(floor.places.text(200));
             case "traffic" -> b.append(Traffic.text());
             case "log" -> b.append(RingLog.tail(200));
-            default -> b.append("? counters overload leases replicas setup home jobs scaling traffic log\n");
+            default -> b.append("? counters overload leases replicas setup home jobs scaling places traffic log\n");
         }
         return b.toString();
     }
--- a/newsstand/src/main/java/martenloom/newsstand/floor/Chooser.java
+++ b/newsstand/src/main/java/martenloom/newsstand/floor/Chooser.java
@@ -212,6 +212,17 @@
         return best;
     }
 
+    /** Whether this replica is where some edge last sent the errand's large shared parts, so that it need not read them. */
+    boolean keeps(Rack.Slot s, Errand e) {
+        return e.sizes.size() > 1 && e.sharedTokens() >= LARGE && places.keeper(sharedPart(e)).filter(s.row.id::equals).isPresent();
+    }
+
+    /** The keeper may take a little longer than another replica; and what will be late anyway is not read again elsewhere. */
+    private static double roomOfKeeper(Errand e, long now) {
+        var gone = now - e.arrivedUs;
+        return gone > e.route.aimUs * 0.5 ? (e.deadlineUs - now) * 0.5 : e.route.aimUs * 0.85 - gone;
+    }
+
     /**
      * Large shared parts belong to one replica of all allowed regions, so that each is read once: the one where some
      * edge last sent it, then those by hash, the same at every edge; the first that is usable and has room is taken. Reports in force keep a share away as ever.
@@ -225,11 +236,12 @@
         }
         l.sort(Comparator.comparingInt((Rack.Slot s) -> weight(e, s)).reversed());
         places.keeper(sharedPart(e)).flatMap(rack::slot).filter(l::remove).ifPresent(s -> l.add(0, s));
+        var kept = !l.isEmpty() && keeps(l.get(0), e);
         var least = l.stream().filter(s -> usable(s, svc, e, now)).mapToInt(s -> s.mine + s.othersInHand(now)).min().orElse(0);
         for (var i = 0; i < Math.min(3, l.size()); i++) {
             var s = l.get(i);
             var in = s.mine + s.othersInHand(now);
-            if (!usable(s, svc, e, now) || crowded(s, svc, e, now) || in > 16 + least * 2 || rack.predict(s, svc, e, i == 0, now) > room) {
+            if (!usable(s, svc, e, now) || crowded(s, svc, e, now) || in > 16 + least * 2 || rack.predict(s, svc, e, kept && i == 0, now) > (kept && i == 0 ? roomOfKeeper(e, now) : room)) {
                 continue;
             }
             var away = !s.region.equals(props.region);
--- a/newsstand/src/main/java/martenloom/newsstand/floor/Floor.java
+++ b/newsstand/src/main/java/martenloom/newsstand/floor/Floor.java
@@ -22,6 +22,7 @@
  */
 public final class Floor implements Requester.Floor, Leg.Owner {
     private static final int INBOX = 1024;
+    private static final long WONDER_US = 250_000;
 
     private final Eventloop loop;
     private final Props props;
@@ -282,9 +283,10 @@
         }
         var svc = table().services.get(e.service);
         var slot = s.get();
-        var l = new Leg(e, slot, slot.unread(e, false), this);
+        var kept = chooser.keeps(slot, e);
+        var l = new Leg(e, slot, slot.unread(e, kept), this);
         l.aheadTokens = slot.unread + slot.othersUnread(now);
-        l.ownTokens = e.sizes.isEmpty() ? e.promptTokens : slot.has(e.parts.get(e.parts.size() - 1)) ? 0 : e.sizes.get(e.sizes.size() - 1);
+        l.ownTokens = ownTokens(e, slot, kept);
         e.leg = Optional.of(l);
         e.become(e.state() == Errand.State.STREAMING ? Errand.State.STREAMING : Errand.State.RUNNING);
         slot.mine++;
@@ -303,6 +305,15 @@
         return true;
     }
 
+    /** Tokens that the replica certainly has to read: all when nobody sent the shared parts there, else the own part. */
+    private static int ownTokens(Errand e, Rack.Slot s, boolean kept) {
+        if (e.sizes.isEmpty()) {
+            return e.promptTokens;
+        }
+        var all = !kept && e.sharedTokens() >= Chooser.LARGE && !s.has(Chooser.sharedPart(e));
+        return all ? e.promptTokens : s.has(e.parts.get(e.parts.size() - 1)) ? 0 : e.sizes.get(e.sizes.size() - 1);
+    }
+
     private void uncount(Leg l) {
         if (l.counted) {
             l.counted = false;
@@ -597,11 +608,14 @@
 
     private void quiet(Rack.Slot s, long now) {
         if (s.legs.isEmpty() || s.quietSinceUs == 0 && now - s.heardUs < 300_000) {
+            s.wondering = false;
             return;
         }
         var first = s.legs.stream().filter(l -> l.sentUs > 0).mapToLong(l -> l.sentUs).min();
         var since = Math.max(s.heardUs, first.orElse(now));
-        if (now - since < patience(s)) {
+        var patience = patience(s);
+        s.wondering = now - since > Math.max(patience / 2, patience - WONDER_US);
+        if (now - since < patience || s.othersHear(now) && now - since < patience * 2) {
             return;
         }
         if (s.suspectUntilUs < now) {
@@ -614,17 +628,22 @@
         }
     }
 
+    /**
+     * How long a replica with legs in hand may say nothing. One event of a stream holds some tokens, and between any two of
+     * them a piece of another prompt may be read, so a stream that runs may pause for as many pieces.
+     */
     private long patience(Rack.Slot s) {
         var svc = table().services.get(s.row.service);
         if (svc == null || !svc.engine) {
             return (long) Math.max(200_000, s.workUs * 5 + s.rttUs);
         }
+        var unread = s.unread + s.othersUnread(Clocks.nowUs());
         for (var l : s.legs) {
             if (l.started()) {
-                return (long) (450_000 + s.rttUs);
+                return (long) (450_000 + s.rttUs + Math.min(unread, Rack.PIECE * svc.stepSize) / s.rate * 1000);
             }
         }
-        return (long) (500_000 + s.rttUs + (s.unread + s.othersUnread(Clocks.nowUs())) / s.rate * 2000);
+        return (long) (500_000 + s.rttUs + unread / s.rate * 2000);
     }
 
     /** Takes a repeatable errand off a replica that has gone quiet, when another replica and the budget allow. */
--- a/newsstand/src/main/java/martenloom/newsstand/rack/Places.java
+++ b/newsstand/src/main/java/martenloom/newsstand/rack/Places.java
@@ -38,6 +38,13 @@
         }
     }
 
+    /** For the shell: the newest parts and their keepers. */
+    public String text(int most) {
+        var b = new StringBuilder("parts ").append(at.size()).append('\n');
+        at.object2ObjectEntrySet().stream().skip(Math.max(0, at.size() - most)).forEach(e -> b.append(e.getKey()).append(" at ").append(e.getValue()).append('\n'));
+        return b.toString();
+    }
+
     /** Writes what has not been told yet. */
     public void write(Rec.Out o) {
         o.list(untold.entrySet(), (w, e) -> w.text(e.getKey()).text(e.getValue()));
--- a/newsstand/src/main/java/martenloom/newsstand/rack/Rack.java
+++ b/newsstand/src/main/java/martenloom/newsstand/rack/Rack.java
@@ -17,7 +17,8 @@
  */
 public final class Rack {
     private static final double FIRST_RATE = 25;
-    private static final int PIECE = 4000;
+    public static final int PIECE = 4000;
+    private static final int OWN_SAMPLES = 8;
     private static final long STRIKE_MEMORY_US = 10_000_000;
     private static final long STRIKE_APART_US = 500_000;
     private static final int MOST_STRIKES = 2;
@@ -38,6 +39,10 @@
         private int othersInHand;
         private int othersUnread;
         private int othersDoubts;
+        private int othersHeard;
+        /** Quiet for long enough to ask the others of the hall what they hear, not yet for more. */
+        public boolean wondering;
+        private int samples;
         private long othersAtUs;
         public double rate = FIRST_RATE;
         public double workUs = 30_000;
@@ -66,10 +71,11 @@
         }
 
         /** What the other edges have here, by the last sums that came; sums too old to be of use count as nothing. */
-        public void others(int inHand, int unread, int doubts, long now) {
+        public void others(int inHand, int unread, int doubts, int heard, long now) {
             othersInHand = Math.max(0, inHand);
             othersUnread = Math.max(0, unread);
             othersDoubts = doubts;
+            othersHeard = heard;
             othersAtUs = now;
         }
 
@@ -81,8 +87,13 @@
             return now - othersAtUs < OTHERS_US ? othersUnread : 0;
         }
 
+        /** Others of our hall, by the last sums, heard it though somebody wonders: it is busy with them, not gone. */
+        public boolean othersHear(long now) {
+            return othersHeard > 0 && now - othersAtUs < 700_000;
+        }
+
         public boolean othersDoubt(long now) {
-            return othersDoubts > 0 && now - othersAtUs < 700_000 && now - heardUs > 300_000;
+            return othersDoubts > 0 && othersHeard <= 0 && now - othersAtUs < 700_000 && now - heardUs > 300_000;
         }
 
         /**
@@ -220,13 +231,19 @@
     private final Map<String, Double> usual = new HashMap<>();
 
     /**
-     * Takes a sample of tokens read a millisecond. Only a prompt's own part is counted, for others may have brought the
-     * shared ones, so a sample errs low: it pulls up faster than down.
+     * Takes a sample of tokens read a millisecond. What others may have brought is not counted, so a sample errs low: it
+     * pulls up faster than down. An edge among many sees each replica seldom, so a replica's rate is that of its service
+     * until it has been seen some times itself.
      */
     public void learnRate(Slot s, double r) {
-        s.rate += (r - s.rate) * (r > s.rate ? 0.2 : 0.03);
         var v = rates.getOrDefault(s.row.service, FIRST_RATE);
-        rates.put(s.row.service, v + (r - v) * (r > v ? 0.1 : 0.015));
+        v += (r - v) * (r > v ? 0.1 : 0.015);
+        rates.put(s.row.service, v);
+        s.samples++;
+        s.rate += (r - s.rate) * (r > s.rate ? 0.2 : 0.03);
+        for (var x : of(s.row.service)) {
+            x.rate = x.samples < OWN_SAMPLES ? v : x.rate;
+        }
     }
 
     /** The usual size of a route's prompts, in tokens. */
