--- a/kiosk/src/test/java/martenloom/kiosk/ScalingTest.java
+++ b/kiosk/src/test/java/martenloom/kiosk/ScalingTest.java
@@ -77,6 +77,27 @@
         }
     }
 
+    private static long delayLeft(String scaling) {
+        return Long.parseLong(scaling.replaceAll("(?s).*north/m [^\n]*delay-left (\\d+) ms.*", "$1"));
+    }
+
+    @Test
+    void aScalerKilledMidDelayIsFollowedByOneThatBeginsAnew() {
+        try (var t = open(dir, 90, "window=10,delay=3600")) {
+            var h = holder(t, 0, 3);
+            var w = t.askUntil(t.edge(h), "scaling", "phase WAITING");
+            assertTrue(w.contains("desired 2 running 2") && w.contains("phase WAITING"), w);
+            t.kill(t.edge(h));
+            var before = delayLeft(w);
+            var n = holder(t, 3 - h);
+            var first = t.ask(t.edge(n), "scaling");
+            assertTrue(first.contains("phase STEADY") && first.contains("desired 2"), "a window of its own comes first: " + first);
+            var again = t.askUntil(t.edge(n), "scaling", "phase WAITING");
+            assertTrue(again.contains("desired 2 running 2"), "it errs warm: " + again);
+            assertTrue(delayLeft(again) > before - 9_000, "the delay begins anew, though more than a window has gone by: " + before + ", " + delayLeft(again));
+        }
+    }
+
     @Test
     void aModelGoesToNothingWhereItMayAndTheFirstThatWaitsWakesIt() {
         try (var t = open(dir, 88, "window=10,delay=0")) {
