--- a/pantry/src/main/java/martenloom/pantry/chain/ChainCore.java
+++ b/pantry/src/main/java/martenloom/pantry/chain/ChainCore.java
@@ -100,6 +100,9 @@
 
     private record Asked(long errand, CoreState.Change change) {}
 
+    /** An answer that writes nothing, until the pulse that proves this head is back. */
+    private record Unproven(long errand, CoreState.Outcome outcome, long barrier) {}
+
     private record Voice(Ballot accepted, long edition, Optional<CoreState> state) {}
 
     private static final class Bid {
@@ -158,8 +161,7 @@
     private long passSentUs;
     private CoreState committed;
     private Optional<Asked> inWork = Optional.empty();
-    private Optional<CoreState.Outcome> waitingOutcome = Optional.empty();
-    private long barrier;
+    private final Deque<Unproven> unproven = new ArrayDeque<>();
     private String headSeen = "";
     private List<String> chainSeen = List.of();
     private long newsSentUs;
@@ -262,7 +264,8 @@
     private void refuseAll() {
         inWork.ifPresent(a -> out.add(new Answer(a.errand, 503, "the chain is being mended")));
         inWork = Optional.empty();
-        waitingOutcome = Optional.empty();
+        unproven.forEach(u -> out.add(new Answer(u.errand, 503, "the chain is being mended")));
+        unproven.clear();
         inbox.forEach(a -> out.add(new Answer(a.errand, 503, "the chain is being mended")));
         inbox.clear();
     }
@@ -357,7 +360,7 @@
             startBid();
             return;
         }
-        if (inWork.isPresent() && waitingOutcome.isEmpty() && storing.isEmpty()) {
+        if (inWork.isPresent() && storing.isEmpty()) {
             if (now - passSentUs > RESEND_US) {
                 passOn();
             }
@@ -719,7 +722,7 @@
             work();
         } else if (mode == Mode.HEADING) {
             commit(b, ed);
-            if (inWork.isPresent() && waitingOutcome.isEmpty() && ed == led.state.edition && storing.isEmpty()) {
+            if (inWork.isPresent() && ed == led.state.edition && storing.isEmpty()) {
                 var a = inWork.get();
                 inWork = Optional.empty();
                 out.add(new Answer(a.errand, 200, workText));
@@ -811,13 +814,9 @@
         if (pulseN - n < sentAt.length) {
             provenUs = Math.max(provenUs, sentAt[(int) (n % sentAt.length)]);
         }
-        if (inWork.isPresent() && waitingOutcome.isPresent() && pulseAckN >= barrier) {
-            var o = waitingOutcome.get();
-            var a = inWork.get();
-            inWork = Optional.empty();
-            waitingOutcome = Optional.empty();
-            out.add(new Answer(a.errand, o.status, o.text));
-            work();
+        while (!unproven.isEmpty() && pulseAckN >= unproven.peek().barrier) {
+            var u = unproven.poll();
+            out.add(new Answer(u.errand, u.outcome.status, u.outcome.text));
         }
     }
 
@@ -885,7 +884,7 @@
 
     public void onAsk(long t, long errand, CoreState.Change c) {
         now = Math.max(now, t);
-        if (mode != Mode.HEADING || inbox.size() >= INBOX) {
+        if (mode != Mode.HEADING || inbox.size() + unproven.size() >= INBOX) {
             out.add(new Answer(errand, 503, "not the head of an active chain"));
             return;
         }
@@ -901,26 +900,35 @@
         survey = s;
     }
 
+    /**
+     * One write at a time. Answers that write nothing are decided between writes, when all that is known is committed, and
+     * wait together for one pulse: on a long chain a round each would let askers that lose patience fill the inbox.
+     */
     private void work() {
-        if (mode != Mode.HEADING || inWork.isPresent() || storing.isPresent() || inbox.isEmpty()) {
-            return;
+        var last = pulseN;
+        while (mode == Mode.HEADING && inWork.isEmpty() && storing.isEmpty() && !inbox.isEmpty()) {
+            decide(inbox.poll(), last + 1);
         }
-        var a = inbox.poll();
+        if (!unproven.isEmpty() && unproven.peekLast().barrier > pulseN) {
+            pulse();
+        }
+    }
+
+    private void decide(Asked a, long barrier) {
         var ch = a.change.stamped(jobClockUs(now)).surveyed(a.change.act.ofPlacement() ? survey.get() : "");
         var o = led.state.decide(ch);
         if (o.status == 400) {
             out.add(new Answer(a.errand, 400, o.text));
-            work();
-            return;
+        } else if (o.next.isEmpty()) {
+            unproven.add(new Unproven(a.errand, o, barrier));
+        } else {
+            write(a, ch, o);
         }
+    }
+
+    private void write(Asked a, CoreState.Change ch, CoreState.Outcome o) {
         inWork = Optional.of(a);
         workSinceUs = now;
-        if (o.next.isEmpty()) {
-            waitingOutcome = Optional.of(o);
-            barrier = pulseN + 1;
-            pulse();
-            return;
-        }
         workText = o.text;
         var b = view;
         store(new Ledger(b, b, o.next.get()), () -> {
