--- a/autoscaler/src/test/java/martenloom/autoscaler/ScaleMachineTest.java
+++ b/autoscaler/src/test/java/martenloom/autoscaler/ScaleMachineTest.java
@@ -1,24 +1,30 @@
 package martenloom.autoscaler;
 
-import static org.junit.jupiter.api.Assertions.*;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.*;
-import martenloom.galley.fault.*;
-import org.junit.jupiter.api.*;
-import org.junit.jupiter.params.*;
-import org.junit.jupiter.params.provider.*;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Random;
+import martenloom.common.error.Fault;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The four rules of the source, its worked figures, both ends of every range, and seeded loads. */
 final class ScaleMachineTest {
     private static final long S = 1_000_000;
     private long now;
 
-    private static ScaleProps props(Object... fields) {
-        var m = new EnumMap<ScaleProps.Field, Double>(ScaleProps.Field.class);
+    private static ScaleSettings settings(Object... fields) {
+        var m = new EnumMap<ScaleSettings.Field, Double>(ScaleSettings.Field.class);
         for (var i = 0; i < fields.length; i += 2) {
-            m.put((ScaleProps.Field) fields[i], ((Number) fields[i + 1]).doubleValue());
+            m.put((ScaleSettings.Field) fields[i], ((Number) fields[i + 1]).doubleValue());
         }
-        return ScaleProps.DEFAULT.with("m", m);
+        return ScaleSettings.DEFAULT.with("m", m);
     }
 
     private static ScaleMachine.Fleet fleet(int registered, int running) {
@@ -26,7 +32,7 @@
     }
 
     /** Whole windows of a steady load, a sample a second. */
-    private int windows(ScaleMachine m, ScaleProps p, int load, int n, int registered) {
+    private int windows(ScaleMachine m, ScaleSettings p, int load, int n, int registered) {
         for (var w = 0; w < n; w++) {
             var due = false;
             while (!due) {
@@ -40,7 +46,7 @@
 
     @Test
     void twentyFiveInFlightWithTenAtSeventyPercentAreFour() {
-        var p = props(ScaleProps.Field.TARGET, 10);
+        var p = settings(ScaleSettings.Field.TARGET, 10);
         var m = new ScaleMachine(p, 1, now);
         assertEquals(4, windows(m, p, 25, 1, 9));
         assertEquals(25, m.average());
@@ -52,7 +58,7 @@
 
     @Test
     void loadIsAveragedOverTheWindow() {
-        var p = props(ScaleProps.Field.TARGET, 10);
+        var p = settings(ScaleSettings.Field.TARGET, 10);
         var m = new ScaleMachine(p, 1, now);
         for (var i = 1; i < 60; i++) {
             now += S;
@@ -65,7 +71,14 @@
 
     @Test
     void eightTooManyFallToFourTwoOne() {
-        var p = props(ScaleProps.Field.WINDOW, 10, ScaleProps.Field.DELAY, 30, ScaleProps.Field.TARGET, 10);
+        var p =
+                settings(
+                        ScaleSettings.Field.WINDOW,
+                        10,
+                        ScaleSettings.Field.DELAY,
+                        30,
+                        ScaleSettings.Field.TARGET,
+                        10);
         for (var want : new int[] {0, 2}) {
             var m = new ScaleMachine(p, want + 8, now);
             var seen = new ArrayList<Integer>();
@@ -81,7 +94,14 @@
 
     @Test
     void theDelayRunsWholeAndReturningLoadResetsIt() {
-        var p = props(ScaleProps.Field.WINDOW, 10, ScaleProps.Field.DELAY, 30, ScaleProps.Field.TARGET, 10);
+        var p =
+                settings(
+                        ScaleSettings.Field.WINDOW,
+                        10,
+                        ScaleSettings.Field.DELAY,
+                        30,
+                        ScaleSettings.Field.TARGET,
+                        10);
         var m = new ScaleMachine(p, 4, now);
         assertEquals(4, windows(m, p, 0, 3, 4));
         assertEquals(ScaleMachine.Phase.WAITING, m.phase());
@@ -96,40 +116,88 @@
 
     @Test
     void floorAndCeilingHoldAndTheDefaultCeilingIsWhatIsRegistered() {
-        var p = props(ScaleProps.Field.WINDOW, 10, ScaleProps.Field.DELAY, 0, ScaleProps.Field.TARGET, 10, ScaleProps.Field.FLOOR, 2, ScaleProps.Field.CEILING, 5);
+        var p =
+                settings(
+                        ScaleSettings.Field.WINDOW,
+                        10,
+                        ScaleSettings.Field.DELAY,
+                        0,
+                        ScaleSettings.Field.TARGET,
+                        10,
+                        ScaleSettings.Field.FLOOR,
+                        2,
+                        ScaleSettings.Field.CEILING,
+                        5);
         var m = new ScaleMachine(p, 3, now);
         assertEquals(5, windows(m, p, 1000, 1, 9));
         assertEquals(2, windows(m, p, 0, 9, 9));
-        var q = props(ScaleProps.Field.TARGET, 10);
+        var q = settings(ScaleSettings.Field.TARGET, 10);
         assertEquals(7, windows(new ScaleMachine(q, 3, now), q, 1000, 1, 7));
     }
 
     @Test
     void bothEndsOfTheRangesWork() {
         for (var w : new int[] {10, 3600}) {
-            var p = props(ScaleProps.Field.WINDOW, w, ScaleProps.Field.TARGET, 10);
+            var p = settings(ScaleSettings.Field.WINDOW, w, ScaleSettings.Field.TARGET, 10);
             var m = new ScaleMachine(p, 1, now);
             var t = now;
             assertEquals(4, windows(m, p, 25, 1, 9));
             assertEquals(w * S, now - t);
         }
-        var p0 = props(ScaleProps.Field.WINDOW, 10, ScaleProps.Field.DELAY, 0, ScaleProps.Field.TARGET, 10);
-        assertEquals(4, windows(new ScaleMachine(p0, 8, now), p0, 0, 1, 8), "a delay of nothing steps at each decision");
-        var p1 = props(ScaleProps.Field.WINDOW, 10, ScaleProps.Field.DELAY, 3600, ScaleProps.Field.TARGET, 10);
+        var p0 =
+                settings(
+                        ScaleSettings.Field.WINDOW,
+                        10,
+                        ScaleSettings.Field.DELAY,
+                        0,
+                        ScaleSettings.Field.TARGET,
+                        10);
+        assertEquals(
+                4,
+                windows(new ScaleMachine(p0, 8, now), p0, 0, 1, 8),
+                "a delay of nothing steps at each decision");
+        var p1 =
+                settings(
+                        ScaleSettings.Field.WINDOW,
+                        10,
+                        ScaleSettings.Field.DELAY,
+                        3600,
+                        ScaleSettings.Field.TARGET,
+                        10);
         var m1 = new ScaleMachine(p1, 8, now);
         assertEquals(8, windows(m1, p1, 0, 360, 8));
         assertEquals(4, windows(m1, p1, 0, 1, 8));
-        var s1 = props(ScaleProps.Field.WINDOW, 10, ScaleProps.Field.DELAY, 0, ScaleProps.Field.STEP, 1, ScaleProps.Field.TARGET, 10);
-        assertEquals(299, windows(new ScaleMachine(s1, 300, now), s1, 297 * 7, 1, 300), "one at least");
-        assertEquals(297, windows(new ScaleMachine(s1, 300, now), s1, 0, 1, 300), "one in a hundred at most");
+        var s1 =
+                settings(
+                        ScaleSettings.Field.WINDOW,
+                        10,
+                        ScaleSettings.Field.DELAY,
+                        0,
+                        ScaleSettings.Field.STEP,
+                        1,
+                        ScaleSettings.Field.TARGET,
+                        10);
+        assertEquals(
+                299, windows(new ScaleMachine(s1, 300, now), s1, 297 * 7, 1, 300), "one at least");
+        assertEquals(
+                297,
+                windows(new ScaleMachine(s1, 300, now), s1, 0, 1, 300),
+                "one in a hundred at most");
         assertEquals(25, ScaleMachine.wanted(25, 100 * 0.01));
-        var u = props(ScaleProps.Field.UTILIZATION, 100, ScaleProps.Field.TARGET, 10);
+        var u = settings(ScaleSettings.Field.UTILIZATION, 100, ScaleSettings.Field.TARGET, 10);
         assertEquals(3, windows(new ScaleMachine(u, 1, now), u, 25, 1, 9));
     }
 
     @Test
     void aWindowInWhichTooFewEdgesWereHeardMayRaiseAndNeverLower() {
-        var p = props(ScaleProps.Field.WINDOW, 10, ScaleProps.Field.DELAY, 0, ScaleProps.Field.TARGET, 10);
+        var p =
+                settings(
+                        ScaleSettings.Field.WINDOW,
+                        10,
+                        ScaleSettings.Field.DELAY,
+                        0,
+                        ScaleSettings.Field.TARGET,
+                        10);
         var m = new ScaleMachine(p, 4, now);
         now += 5 * S;
         m.sample(0, false, now);
@@ -143,7 +211,7 @@
 
     @Test
     void fromNothingTheFirstThatWaitsWakesOne() {
-        var p = props(ScaleProps.Field.DELAY, 0, ScaleProps.Field.TARGET, 10);
+        var p = settings(ScaleSettings.Field.DELAY, 0, ScaleSettings.Field.TARGET, 10);
         var m = new ScaleMachine(p, 0, now);
         assertFalse(m.sample(0, true, now += S / 5));
         assertTrue(m.sample(1, true, now += S / 5), "no window is waited for");
@@ -152,7 +220,14 @@
 
     @Test
     void aRefusedDecisionIsShownAndHeld() {
-        var p = props(ScaleProps.Field.WINDOW, 10, ScaleProps.Field.DELAY, 10, ScaleProps.Field.TARGET, 10);
+        var p =
+                settings(
+                        ScaleSettings.Field.WINDOW,
+                        10,
+                        ScaleSettings.Field.DELAY,
+                        10,
+                        ScaleSettings.Field.TARGET,
+                        10);
         var m = new ScaleMachine(p, 4, now);
         assertEquals(2, windows(m, p, 0, 2, 4));
         m.refused(4, "model 'm' would run nowhere", now);
@@ -163,16 +238,20 @@
 
     @Test
     void valuesOutOfRangeNameModelFieldAndRange() {
-        for (var f : ScaleProps.Field.values()) {
-            var x = assertThrows(Fault.class, () -> props(f, -1));
-            assertTrue(x.getMessage().contains("'m' " + f.name) && x.getMessage().contains("from"), x.getMessage());
+        for (var f : ScaleSettings.Field.values()) {
+            var x = assertThrows(Fault.class, () -> settings(f, -1));
+            assertTrue(
+                    x.getMessage().contains("'m' " + f.name) && x.getMessage().contains("from"),
+                    x.getMessage());
         }
-        assertThrows(Fault.class, () -> props(ScaleProps.Field.STEP, 51));
-        assertThrows(Fault.class, () -> props(ScaleProps.Field.WINDOW, 9.5));
-        assertThrows(Fault.class, () -> props(ScaleProps.Field.FLOOR, 3, ScaleProps.Field.CEILING, 2));
-        assertThrows(Fault.class, () -> ScaleProps.parse("window"));
-        assertThrows(Fault.class, () -> ScaleProps.parse("wondow=3"));
-        assertEquals(10, ScaleProps.parse("window=10,delay=5").windowS());
+        assertThrows(Fault.class, () -> settings(ScaleSettings.Field.STEP, 51));
+        assertThrows(Fault.class, () -> settings(ScaleSettings.Field.WINDOW, 9.5));
+        assertThrows(
+                Fault.class,
+                () -> settings(ScaleSettings.Field.FLOOR, 3, ScaleSettings.Field.CEILING, 2));
+        assertThrows(Fault.class, () -> ScaleSettings.parse("window"));
+        assertThrows(Fault.class, () -> ScaleSettings.parse("wondow=3"));
+        assertEquals(10, ScaleSettings.parse("window=10,delay=5").windowS());
     }
 
     @ParameterizedTest
@@ -183,8 +262,22 @@
         var ceiling = Math.max(1, floor + r.nextInt(20));
         var delay = r.nextInt(60);
         var step = 1 + r.nextInt(50);
-        var p = props(ScaleProps.Field.WINDOW, 10, ScaleProps.Field.DELAY, delay, ScaleProps.Field.STEP, step, ScaleProps.Field.TARGET, 1 + r.nextInt(30),
-            ScaleProps.Field.UTILIZATION, 1 + r.nextInt(100), ScaleProps.Field.FLOOR, floor, ScaleProps.Field.CEILING, ceiling);
+        var p =
+                settings(
+                        ScaleSettings.Field.WINDOW,
+                        10,
+                        ScaleSettings.Field.DELAY,
+                        delay,
+                        ScaleSettings.Field.STEP,
+                        step,
+                        ScaleSettings.Field.TARGET,
+                        1 + r.nextInt(30),
+                        ScaleSettings.Field.UTILIZATION,
+                        1 + r.nextInt(100),
+                        ScaleSettings.Field.FLOOR,
+                        floor,
+                        ScaleSettings.Field.CEILING,
+                        ceiling);
         var m = new ScaleMachine(p, floor + r.nextInt(ceiling - floor + 1), now);
         var lowered = now - 3600 * S;
         var load = 0;
@@ -200,7 +293,9 @@
             assertTrue(d >= floor && d <= ceiling, d + " in " + floor + ".." + ceiling);
             if (d < was) {
                 assertTrue(now - lowered >= delay * S, "two steps down within a delay");
-                assertTrue(was - d <= Math.max(1, was * step / 100), (was - d) + " of " + was + " at " + step + " percent");
+                assertTrue(
+                        was - d <= Math.max(1, was * step / 100),
+                        (was - d) + " of " + was + " at " + step + " percent");
                 lowered = now;
             } else if (d > was) {
                 lowered = now - 3600 * S;
--- a/galley/src/main/java/martenloom/galley/record/Rec.java
+++ b/common/src/main/java/martenloom/common/codec/Codec.java
@@ -1,21 +1,34 @@
-package martenloom.galley.record;
-
-import java.io.*;
-import java.util.*;
-import martenloom.galley.fault.*;
+package martenloom.common.codec;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import martenloom.common.error.Fault;
 
 /**
- * One record between daemons: a type byte and what DataOutputStream wrote. Out builds one, In reads one. Reading past
- * the end or a length out of bounds is a fault of the record, never of the daemon that received it.
+ * One record between daemons: a type byte and what DataOutputStream wrote. Out builds one, In reads
+ * one. Reading past the end or a length out of bounds is a fault of the record, never of the daemon
+ * that received it.
  */
-public final class Rec {
-    private Rec() {}
+public final class Codec {
+    private Codec() {}
 
+    /** Writes one element of a list. */
     @FunctionalInterface
     public interface Put<T> {
         void put(Out o, T t);
     }
 
+    /**
+     * Writes the fields of one record in their order; a record begins with its type where it has
+     * one.
+     */
     public static final class Out {
         private final ByteArrayOutputStream bytes = new ByteArrayOutputStream(128);
         private final DataOutputStream out = new DataOutputStream(bytes);
@@ -70,10 +83,11 @@
         }
 
         public Out blob(byte[] v) {
-            return step(() -> {
-                out.writeInt(v.length);
-                out.write(v);
-            });
+            return step(
+                    () -> {
+                        out.writeInt(v.length);
+                        out.write(v);
+                    });
         }
 
         /** Bytes that were written by another Out, as they are. */
@@ -96,6 +110,10 @@
         }
     }
 
+    /**
+     * Reads the fields of one record in the order in which they were written; a short or torn
+     * record is a fault.
+     */
     public static final class In {
         private final DataInputStream in;
         private final int size;
@@ -116,7 +134,8 @@
             try {
                 return s.run();
             } catch (IOException e) {
-                throw Fault.here(Fault.Code.RECORD, "read record", "type " + type + " is cut short");
+                throw Fault.here(
+                        Fault.Code.RECORD, "read record", "type " + type + " is cut short");
             }
         }
 
@@ -151,20 +170,27 @@
         public byte[] blob() {
             var n = i32();
             if (n < 0 || n > size) {
-                throw Fault.here(Fault.Code.RECORD, "read record", "type " + type + " has a length out of bounds");
+                throw Fault.here(
+                        Fault.Code.RECORD,
+                        "read record",
+                        "type " + type + " has a length out of bounds");
             }
             var b = new byte[n];
-            step(() -> {
-                in.readFully(b);
-                return b;
-            });
+            step(
+                    () -> {
+                        in.readFully(b);
+                        return b;
+                    });
             return b;
         }
 
         public <T> List<T> list(java.util.function.Function<In, T> f) {
             var n = i32();
             if (n < 0 || n > size) {
-                throw Fault.here(Fault.Code.RECORD, "read record", "type " + type + " has a count out of bounds");
+                throw Fault.here(
+                        Fault.Code.RECORD,
+                        "read record",
+                        "type " + type + " has a count out of bounds");
             }
             var l = new ArrayList<T>(n);
             for (var i = 0; i < n; i++) {
--- a/galley/src/main/java/martenloom/galley/fault/Fault.java
+++ b/common/src/main/java/martenloom/common/error/Fault.java
@@ -1,11 +1,23 @@
-package martenloom.galley.fault;
+package martenloom.common.error;
 
 /**
- * The one unchecked exception of the project. It says by code what kind of thing went wrong, at which step, and with
- * which peer ("here" when no peer was concerned), so that one printed line is enough to look in the right place.
+ * The one unchecked exception of the project. It says by code what kind of thing went wrong, at
+ * which step, and with which peer ("here" when no peer was concerned), so that one printed line is
+ * enough to look in the right place.
  */
 public final class Fault extends RuntimeException {
-    public enum Code { SETTINGS, SETUP, USAGE, DISK, LINK, RECORD, REPLICA, REQUESTER, VIEW }
+    /** The part of the system in which a fault arose. */
+    public enum Code {
+        SETTINGS,
+        CONFIGURATION,
+        USAGE,
+        DISK,
+        LINK,
+        RECORD,
+        REPLICA,
+        CLIENT,
+        VIEW
+    }
 
     public final Code code;
     public final String step;
--- a/galley/src/main/java/martenloom/galley/fleet/Rows.java
+++ b/common/src/main/java/martenloom/common/fleet/FleetRecords.java
@@ -1,13 +1,14 @@
-package martenloom.galley.fleet;
+package martenloom.common.fleet;
 
-import java.util.*;
-import martenloom.galley.record.*;
+import java.util.Objects;
+import martenloom.common.codec.Codec;
 
 /**
- * Rows of the fleet's registry as they travel between daemons. Times travel as ages and remainders, never as times of
- * day; the reader turns them into its own steady clock. A row is newer by its life and sequence.
+ * Rows of the fleet's registry as they travel between daemons. Times travel as ages and remainders,
+ * never as times of day; the reader turns them into its own steady clock. A row is newer by its
+ * life and sequence.
  */
-public final class Rows {
+public final class FleetRecords {
     public static final int FLOOD = 40;
     public static final int DIGEST = 41;
     public static final int ASK = 42;
@@ -18,7 +19,7 @@
     public static final int HEARD = 47;
     public static final int RENEW = 60;
     public static final int NEWS = 61;
-    public static final int SETUP = 62;
+    public static final int CONFIGURATION = 62;
     public static final int REPLICAS = 63;
     public static final int RESYNC = 64;
     public static final int JOBS = 65;
@@ -31,7 +32,7 @@
     public static final int TEXT = 91;
     public static final int RANGES = 16;
 
-    private Rows() {}
+    private FleetRecords() {}
 
     public static int range(String key) {
         return Math.floorMod(key.hashCode() * 0x9E3779B9 >>> 16, RANGES);
@@ -42,7 +43,7 @@
         public String id = "";
         public String service = "";
         public String address = "";
-        public String hall = "";
+        public String zone = "";
         public int capacity = 1;
         public long seq;
         public boolean draining;
@@ -52,18 +53,20 @@
         public long leavesAtUs = Long.MAX_VALUE;
         public long heardUs;
 
-        public void write(Rec.Out o, long now) {
-            o.text(id).text(service).text(address).text(hall).i32(capacity).i64(seq);
+        public void write(Codec.Out o, long now) {
+            o.text(id).text(service).text(address).text(zone).i32(capacity).i64(seq);
             o.u8((draining ? 1 : 0) | (gone ? 2 : 0) | (silent ? 4 : 0));
-            o.i64(Math.max(0, warmAtUs - now)).i64(leavesAtUs == Long.MAX_VALUE ? -1 : Math.max(0, leavesAtUs - now)).i64(now - heardUs);
+            o.i64(Math.max(0, warmAtUs - now))
+                    .i64(leavesAtUs == Long.MAX_VALUE ? -1 : Math.max(0, leavesAtUs - now))
+                    .i64(now - heardUs);
         }
 
-        public static Replica read(Rec.In in, long now) {
+        public static Replica read(Codec.In in, long now) {
             var r = new Replica();
             r.id = in.text();
             r.service = in.text();
             r.address = in.text();
-            r.hall = in.text();
+            r.zone = in.text();
             r.capacity = in.i32();
             r.seq = in.i64();
             var f = in.u8();
@@ -83,7 +86,7 @@
 
         /** What matters to an edge about this life, warmth apart. */
         public int digest() {
-            return Objects.hash(id, service, address, hall, draining, gone, silent);
+            return Objects.hash(id, service, address, zone, draining, gone, silent);
         }
     }
 
@@ -91,7 +94,7 @@
     public static final class Edge {
         public String ip = "";
         public String name = "";
-        public String hall = "";
+        public String zone = "";
         public String region = "";
         public String front = "";
         public boolean ready;
@@ -101,16 +104,21 @@
         public long revision;
         public long heardUs;
 
-        public void write(Rec.Out o, long now) {
-            o.text(ip).text(name).text(hall).text(region).text(front).u8((ready ? 1 : 0) | (leaving ? 2 : 0));
+        public void write(Codec.Out o, long now) {
+            o.text(ip)
+                    .text(name)
+                    .text(zone)
+                    .text(region)
+                    .text(front)
+                    .u8((ready ? 1 : 0) | (leaving ? 2 : 0));
             o.i64(life).i64(seq).i64(revision).i64(now - heardUs);
         }
 
-        public static Edge read(Rec.In in, long now) {
+        public static Edge read(Codec.In in, long now) {
             var e = new Edge();
             e.ip = in.text();
             e.name = in.text();
-            e.hall = in.text();
+            e.zone = in.text();
             e.region = in.text();
             e.front = in.text();
             var f = in.u8();
--- a/galley/src/main/java/martenloom/galley/jobs/Job.java
+++ b/common/src/main/java/martenloom/common/jobs/Job.java
@@ -1,15 +1,24 @@
-package martenloom.galley.jobs;
+package martenloom.common.jobs;
 
-import java.util.*;
-import martenloom.galley.record.*;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import martenloom.common.codec.Codec;
 
 /**
- * One deferred job as the core keeps it and an edge runs it. Its states are explicit; how urgent it is follows from its
- * slack alone, by the steps of urgency().
+ * One deferred job as the core keeps it and an edge runs it. Its states are explicit; how urgent it
+ * is follows from its slack alone, by the steps of urgency().
  */
 public final class Job {
+    /** Where a deferred job stands between its submission and the confirmation of its result. */
     public enum State {
-        WAITING, RUNNING, DONE, FAILED, UNCERTAIN, CANCELLED, EXPIRED;
+        WAITING,
+        RUNNING,
+        DONE,
+        FAILED,
+        UNCERTAIN,
+        CANCELLED,
+        EXPIRED;
 
         public boolean live() {
             return this == WAITING || this == RUNNING;
@@ -48,7 +57,11 @@
     }
 
     public long bytes() {
-        return body.length + kept.length + result.length + path.length() + fields.stream().mapToInt(String::length).sum();
+        return body.length
+                + kept.length
+                + result.length
+                + path.length()
+                + fields.stream().mapToInt(String::length).sum();
     }
 
     public static byte[] join(byte[] a, byte[] b) {
@@ -59,13 +72,17 @@
 
     /** The first shared part of its prompt, by which like jobs are run together. */
     public String prefix() {
-        return fields.stream().filter(f -> f.toLowerCase(Locale.ROOT).startsWith("x-prompt-prefix:")).findFirst()
-            .map(f -> f.substring(16).strip().split("[:,]")[0]).orElse("");
+        return fields.stream()
+                .filter(f -> f.toLowerCase(Locale.ROOT).startsWith("x-prompt-prefix:"))
+                .findFirst()
+                .map(f -> f.substring(16).strip().split("[:,]")[0])
+                .orElse("");
     }
 
     /**
-     * The rule of urgency. 0: more than half of its time is left; 1: more than a fifth; 2: more than a twentieth, or the
-     * last 20 s; 3: the last 5 s. A step higher is run in less room, and asked of replicas with more weight.
+     * The rule of urgency. 0: more than half of its time is left; 1: more than a fifth; 2: more
+     * than a twentieth, or the last 20 s; 3: the last 5 s. A step higher is run in less room, and
+     * asked of replicas with more weight.
      */
     public static int urgency(long leftUs, long wholeUs) {
         if (leftUs < 5_000_000) {
@@ -78,18 +95,35 @@
     }
 
     public Job copy() {
-        var o = new Rec.Out();
+        var o = new Codec.Out();
         write(o);
-        return read(new Rec.In(o.bytes(), false));
+        return read(new Codec.In(o.bytes(), false));
     }
 
-    public void write(Rec.Out o) {
-        o.text(id).text(region).text(method).text(host).text(path).texts(fields).blob(body).text(digest).flag(repeatable).flag(resumable);
-        o.i64(submittedUs).i64(dueUs).u8(state.ordinal()).i64(fence).i32(runs).text(lastEvent).blob(kept).i32(status).blob(result);
+    public void write(Codec.Out o) {
+        o.text(id)
+                .text(region)
+                .text(method)
+                .text(host)
+                .text(path)
+                .texts(fields)
+                .blob(body)
+                .text(digest)
+                .flag(repeatable)
+                .flag(resumable);
+        o.i64(submittedUs)
+                .i64(dueUs)
+                .u8(state.ordinal())
+                .i64(fence)
+                .i32(runs)
+                .text(lastEvent)
+                .blob(kept)
+                .i32(status)
+                .blob(result);
         o.flag(confirmed).i64(endedUs).text(why);
     }
 
-    public static Job read(Rec.In in) {
+    public static Job read(Codec.In in) {
         var j = new Job();
         j.id = in.text();
         j.region = in.text();
@@ -121,7 +155,24 @@
     }
 
     public String json(long now) {
-        return "{\"Id\":" + q(id) + ",\"State\":" + q(state.word()) + ",\"Region\":" + q(region) + ",\"AgeMs\":" + (now - submittedUs) / 1000 + ",\"SlackMs\":" + (dueUs - now) / 1000
-            + ",\"Runs\":" + runs + ",\"Status\":" + status + ",\"Confirmed\":" + confirmed + ",\"Why\":" + q(why) + "}";
+        return "{\"Id\":"
+                + q(id)
+                + ",\"State\":"
+                + q(state.word())
+                + ",\"Region\":"
+                + q(region)
+                + ",\"AgeMs\":"
+                + (now - submittedUs) / 1000
+                + ",\"SlackMs\":"
+                + (dueUs - now) / 1000
+                + ",\"Runs\":"
+                + runs
+                + ",\"Status\":"
+                + status
+                + ",\"Confirmed\":"
+                + confirmed
+                + ",\"Why\":"
+                + q(why)
+                + "}";
     }
 }
--- a/galley/src/main/java/martenloom/galley/log/RingLog.java
+++ b/common/src/main/java/martenloom/common/log/RingLog.java
@@ -1,10 +1,11 @@
-package martenloom.galley.log;
+package martenloom.common.log;
 
-import org.jboss.logging.*;
+import org.jboss.logging.Logger;
 
 /**
- * Logs stay in a ring in memory and are written out, through JBoss Logging, only when something goes wrong. A note
- * costs one array write; a spill prints what led up to the trouble and is itself limited to one in two seconds.
+ * Logs stay in a ring in memory and are written out, through JBoss Logging, only when something
+ * goes wrong. A note costs one array write; a spill prints what led up to the trouble and is itself
+ * limited to one in two seconds.
  */
 public final class RingLog {
     private static final Logger OUT = Logger.getLogger("martenloom");
--- a/galley/src/main/java/martenloom/galley/props/Props.java
+++ b/common/src/main/java/martenloom/common/settings/Settings.java
@@ -1,20 +1,27 @@
-package martenloom.galley.props;
+package martenloom.common.settings;
 
-import com.electronwill.nightconfig.core.*;
-import com.electronwill.nightconfig.toml.*;
-import java.io.*;
-import java.nio.file.*;
-import java.util.*;
-import martenloom.galley.fault.*;
+import com.electronwill.nightconfig.core.UnmodifiableConfig;
+import com.electronwill.nightconfig.toml.TomlParser;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import martenloom.common.error.Fault;
 
 /**
- * The props of one daemon, read from the settings file and checked field by field; a fault names the field and the
- * reason in one line. Unknown fields are ignored. Nothing here is written back, and a changed file gives a new value.
+ * The settings of one daemon, read from the settings file and checked field by field; a fault names
+ * the field and the reason in one line. Unknown fields are ignored. Nothing here is written back,
+ * and a changed file gives a new value.
  */
-public final class Props {
+public final class Settings {
     public final String name;
     public final String ip;
-    public final String hall;
+    public final String zone;
     public final String region;
     public final int portLow;
     public final int portHigh;
@@ -24,7 +31,7 @@
     public final String dataDir;
     public final int beatMs;
     public final Set<String> serves;
-    public final Map<String, String> halls;
+    public final Map<String, String> zones;
     public final Map<String, String> listen;
     public final int maxFds;
     public final int memoryMb;
@@ -62,14 +69,16 @@
         }
     }
 
-    private Props(UnmodifiableConfig c) {
+    private Settings(UnmodifiableConfig c) {
         var r = new Reader(c);
         name = r.word("NodeName");
         ip = r.word("IpAddress");
-        hall = r.word("Zone");
+        zone = r.word("Zone");
         region = r.word("Region");
         var ports = r.list("InternalPortRange");
-        if (ports.size() != 2 || !(ports.get(0) instanceof Number) || !(ports.get(1) instanceof Number)) {
+        if (ports.size() != 2
+                || !(ports.get(0) instanceof Number)
+                || !(ports.get(1) instanceof Number)) {
             throw r.bad("InternalPortRange", "must be two port numbers");
         }
         portLow = ((Number) ports.get(0)).intValue();
@@ -89,7 +98,7 @@
             throw r.bad("HeartbeatIntervalMs", "must be above 0");
         }
         serves = Set.copyOf(r.words("Serves"));
-        halls = r.table("Zones");
+        zones = r.table("Zones");
         listen = r.table("ListenAddresses");
         listen.forEach((k, v) -> address("ListenAddresses." + k, v));
         maxFds = (int) r.num("Limits.MaxFileDescriptors", 1024);
@@ -98,31 +107,41 @@
         bounds = new Bounds(r);
     }
 
-    public static Props load(String path) {
+    public static Settings load(String path) {
         if (path.isBlank()) {
-            throw Fault.here(Fault.Code.SETTINGS, "read settings", "MARTENLOOM_NODE_FILE is not set");
+            throw Fault.here(
+                    Fault.Code.SETTINGS, "read settings", "MARTENLOOM_NODE_FILE is not set");
         }
         String text;
         try {
             text = Files.readString(Path.of(path));
         } catch (IOException e) {
-            throw Fault.here(Fault.Code.SETTINGS, "read settings", path + " cannot be read (" + e.getClass().getSimpleName() + ")");
+            throw Fault.here(
+                    Fault.Code.SETTINGS,
+                    "read settings",
+                    path + " cannot be read (" + e.getClass().getSimpleName() + ")");
         }
         return parse(text);
     }
 
-    public static Props parse(String text) {
+    public static Settings parse(String text) {
         UnmodifiableConfig c;
         try {
             c = new TomlParser().parse(text);
         } catch (RuntimeException e) {
-            throw Fault.here(Fault.Code.SETTINGS, "read settings", "not TOML: " + String.valueOf(e.getMessage()).split("\n")[0]);
+            throw Fault.here(
+                    Fault.Code.SETTINGS,
+                    "read settings",
+                    "not TOML: " + String.valueOf(e.getMessage()).split("\n")[0]);
         }
-        return new Props(c);
+        return new Settings(c);
     }
 
-    /** Takes over from a newly read file what may change while a daemon runs: the seeds and the bounds. */
-    public void adopt(Props p) {
+    /**
+     * Takes over from a newly read file what may change while a daemon runs: the seeds and the
+     * bounds.
+     */
+    public void adopt(Settings p) {
         seeds = p.seeds;
         bounds = p.bounds;
     }
@@ -130,13 +149,16 @@
     public String need(String k) {
         var v = listen.getOrDefault(k, "");
         if (v.isEmpty()) {
-            throw Fault.here(Fault.Code.SETTINGS, "check settings", "ListenAddresses." + k + ": missing, and this role needs it");
+            throw Fault.here(
+                    Fault.Code.SETTINGS,
+                    "check settings",
+                    "ListenAddresses." + k + ": missing, and this role needs it");
         }
         return v;
     }
 
-    public String regionOf(String hall) {
-        return halls.getOrDefault(hall, "");
+    public String regionOf(String zone) {
+        return zones.getOrDefault(zone, "");
     }
 
     public static java.net.InetSocketAddress address(String field, String s) {
@@ -149,13 +171,17 @@
                     for (var k = 0; k < 4; k++) {
                         b[k] = (byte) Integer.parseInt(parts[k]);
                     }
-                    return new java.net.InetSocketAddress(java.net.InetAddress.getByAddress(b), Integer.parseInt(s.substring(i + 1)));
+                    return new java.net.InetSocketAddress(
+                            java.net.InetAddress.getByAddress(b),
+                            Integer.parseInt(s.substring(i + 1)));
                 }
             }
         } catch (IOException | IllegalArgumentException e) {
-            throw Fault.here(Fault.Code.SETTINGS, "check settings", field + ": '" + s + "' is not IP:PORT");
+            throw Fault.here(
+                    Fault.Code.SETTINGS, "check settings", field + ": '" + s + "' is not IP:PORT");
         }
-        throw Fault.here(Fault.Code.SETTINGS, "check settings", field + ": '" + s + "' is not IP:PORT");
+        throw Fault.here(
+                Fault.Code.SETTINGS, "check settings", field + ": '" + s + "' is not IP:PORT");
     }
 
     private static final class Reader {
@@ -226,12 +252,14 @@
             if (!(v instanceof UnmodifiableConfig t)) {
                 throw bad(k, "must be a table");
             }
-            t.valueMap().forEach((n, o) -> {
-                if (!(o instanceof String s)) {
-                    throw bad(k + "." + n, "must be a string");
-                }
-                out.put(n, s);
-            });
+            t.valueMap()
+                    .forEach(
+                            (n, o) -> {
+                                if (!(o instanceof String s)) {
+                                    throw bad(k + "." + n, "must be a string");
+                                }
+                                out.put(n, s);
+                            });
             return out;
         }
     }
--- a/galley/src/main/java/martenloom/galley/socket/Pump.java
+++ b/common/src/main/java/martenloom/common/socket/SocketReader.java
@@ -1,13 +1,15 @@
-package martenloom.galley.socket;
+package martenloom.common.socket;
 
-import io.activej.bytebuf.*;
-import io.activej.net.socket.tcp.*;
+import io.activej.bytebuf.ByteBuf;
+import io.activej.net.socket.tcp.ITcpSocket;
 
 /**
- * Keeps one read open on a socket for as long as its owner wants more, and gives the bytes on. Reads that are already
- * complete are taken in a loop, so that a fast sender does not deepen the stack.
+ * Keeps one read open on a socket for as long as its owner wants more, and gives the bytes on.
+ * Reads that are already complete are taken in a loop, so that a fast sender does not deepen the
+ * stack.
  */
-public final class Pump {
+public final class SocketReader {
+    /** Receives what was read; called on the thread of the reactor. */
     public interface Owner {
         boolean wants();
 
@@ -21,7 +23,7 @@
     private final Owner owner;
     private boolean reading;
 
-    public Pump(ITcpSocket s, Owner o) {
+    public SocketReader(ITcpSocket s, Owner o) {
         sock = s;
         owner = o;
     }
@@ -31,15 +33,16 @@
             var p = sock.read();
             if (!p.isComplete()) {
                 reading = true;
-                p.subscribe((b, e) -> {
-                    reading = false;
-                    if (e == null) {
-                        got(b);
-                    } else {
-                        owner.ended();
-                    }
-                    go();
-                });
+                p.subscribe(
+                        (b, e) -> {
+                            reading = false;
+                            if (e == null) {
+                                got(b);
+                            } else {
+                                owner.ended();
+                            }
+                            go();
+                        });
                 return;
             }
             if (p.isException()) {
--- /dev/null
+++ b/core/src/main/java/martenloom/core/api/ControlApi.java
@@ -0,0 +1,380 @@
+package martenloom.core.api;
+
+import io.activej.eventloop.Eventloop;
+import io.activej.http.AsyncServlet;
+import io.activej.http.HttpHeader;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.Collections;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import martenloom.common.clock.Clocks;
+import martenloom.common.codec.Codec;
+import martenloom.common.error.Fault;
+import martenloom.common.fleet.FleetRecords;
+import martenloom.common.jobs.Job;
+import martenloom.common.log.RingLog;
+import martenloom.common.settings.Settings;
+import martenloom.core.registry.Registry;
+import martenloom.core.state.CoreState;
+import martenloom.routing.configuration.Configurations;
+import martenloom.routing.route.RouteTable;
+
+/**
+ * The calls of replicas, the operator and clients that look up, in one dispatch on method and path
+ * segments. A change is handed to the chain; a beat is answered once the book has it; a lookup
+ * lists ready edges, near ones first.
+ */
+public final class ControlApi implements AsyncServlet {
+    private static final HttpHeader BASE = HttpHeaders.of("X-Base-Revision");
+    private static final HttpHeader RETRY = HttpHeaders.of("Retry-After");
+    private static final int MOST_ADDRESSES = 64;
+    private static final int MOST_BODY = 8 << 20;
+
+    /** Hands a change to the head of the chain, wherever it is. */
+    @FunctionalInterface
+    public interface OrderForwarder {
+        void ask(CoreState.Change c, BiConsumer<Integer, String> reply);
+    }
+
+    private final Eventloop loop;
+    private final Settings settings;
+    private final Registry registry;
+    private final OrderForwarder chain;
+    private final Runnable flood;
+    private final Supplier<RouteTable> table;
+    private final Function<Set<String>, String> outside;
+
+    public ControlApi(
+            Eventloop loop,
+            Settings settings,
+            Registry registry,
+            OrderForwarder chain,
+            Runnable flood,
+            Supplier<RouteTable> table,
+            Function<Set<String>, String> outside) {
+        this.loop = loop;
+        this.settings = settings;
+        this.registry = registry;
+        this.chain = chain;
+        this.flood = flood;
+        this.table = table;
+        this.outside = outside;
+    }
+
+    @Override
+    public Promise<HttpResponse> serve(HttpRequest q) {
+        var seg = q.getPath().split("/");
+        var key =
+                q.getMethod()
+                        + " "
+                        + (seg.length > 1 ? seg[1] : "")
+                        + (seg.length > 4
+                                ? "/*/*/" + seg[4]
+                                : seg.length > 3
+                                        ? "/*/" + seg[3]
+                                        : seg.length > 2 ? "/" + seg[2] : "");
+        return switch (key) {
+            case "GET lookup" -> Promise.of(lookup(q));
+            case "POST configuration/replace" -> change(q, CoreState.Act.REPLACE);
+            case "POST configuration/update" -> change(q, CoreState.Act.UPDATE);
+            case "GET configuration/describe" ->
+                    ask(new CoreState.Change(CoreState.Act.READ, 0, "", ""));
+            case "POST evacuations/*/start" -> evacuation(seg[2], CoreState.Act.EVAC_START);
+            case "POST evacuations/*/finish" -> evacuation(seg[2], CoreState.Act.EVAC_FINISH);
+            case "POST placements/*/*/unload", "POST placements/*/*/load" ->
+                    placement(seg[2], seg[3], seg[4]);
+            case "POST instances/*/heartbeat" -> body(q).then(b -> Promise.of(beat(seg[2], b)));
+            case "POST instances/*/deregister" -> Promise.of(deregister(seg[2]));
+            case "POST jobs/*/submit" -> body(q).then(b -> submit(seg[2], b));
+            case "GET jobs" -> ask(new CoreState.Change(CoreState.Act.JOB_LIST, 0, "", ""));
+            case "GET jobs/*/describe" -> job(CoreState.Act.JOB_GET, seg[2]);
+            case "GET jobs/*/result" -> job(CoreState.Act.JOB_RESULT, seg[2]);
+            case "POST jobs/*/confirm" -> job(CoreState.Act.JOB_CONFIRM, seg[2]);
+            case "POST jobs/*/cancel" -> job(CoreState.Act.JOB_CANCEL, seg[2]);
+            default -> Promise.of(plain(404, "no such call: " + q.getMethod() + " " + q.getPath()));
+        };
+    }
+
+    private static HttpResponse plain(int status, String text) {
+        var b =
+                HttpResponse.ofCode(status)
+                        .withHeader(
+                                HttpHeaders.CONTENT_TYPE,
+                                status == 200 ? "application/json" : "text/plain")
+                        .withBody(text, StandardCharsets.UTF_8);
+        if (status == 503) {
+            b.withHeader(RETRY, "0.2");
+        }
+        return b.build();
+    }
+
+    private static Promise<String> body(HttpRequest q) {
+        return q.loadBody(MOST_BODY).map(b -> b.getString(StandardCharsets.UTF_8));
+    }
+
+    // ---- the operator
+
+    private Promise<HttpResponse> change(HttpRequest q, CoreState.Act act) {
+        var h = Optional.ofNullable(q.getHeader(BASE)).orElse("");
+        long base;
+        try {
+            base = Long.parseLong(h.trim());
+        } catch (NumberFormatException e) {
+            return Promise.of(plain(400, "X-Base-Revision: '" + h + "' is not a number"));
+        }
+        return body(q).then(b -> ask(new CoreState.Change(act, base, "", b)));
+    }
+
+    private Promise<HttpResponse> evacuation(String zone, CoreState.Act act) {
+        var h = URLDecoder.decode(zone, StandardCharsets.UTF_8);
+        if (!settings.zones.containsKey(h)) {
+            return Promise.of(plain(404, "zone '" + h + "' is not known"));
+        }
+        return ask(new CoreState.Change(act, 0, h, ""));
+    }
+
+    /**
+     * Takes a region's replicas of a model out of service, or back into it; the chain's head checks
+     * what that strands.
+     */
+    private Promise<HttpResponse> placement(String region, String model, String order) {
+        var g = URLDecoder.decode(region, StandardCharsets.UTF_8);
+        var m = URLDecoder.decode(model, StandardCharsets.UTF_8);
+        if (!settings.zones.containsValue(g)) {
+            return Promise.of(plain(404, "region '" + g + "' is not known"));
+        }
+        if (table.get().services.values().stream().noneMatch(s -> s.engine && s.model.equals(m))) {
+            return Promise.of(plain(404, "model '" + m + "' is not known"));
+        }
+        return ask(new CoreState.Change(CoreState.Act.PLACE, 0, g + "/" + m, order));
+    }
+
+    private Promise<HttpResponse> ask(CoreState.Change c) {
+        var p = new SettablePromise<HttpResponse>();
+        ask(c, Clocks.nowUs(), p);
+        return p;
+    }
+
+    private void ask(CoreState.Change c, long since, SettablePromise<HttpResponse> p) {
+        chain.ask(
+                c,
+                (s, t) -> {
+                    if (s == 503 && Clocks.nowUs() - since < 850_000) {
+                        Clocks.after(loop, 60_000, () -> ask(c, since, p));
+                        return;
+                    }
+                    RingLog.note(
+                            "request "
+                                    + c.act
+                                    + " base "
+                                    + c.base
+                                    + " "
+                                    + c.subject
+                                    + ": "
+                                    + s
+                                    + " "
+                                    + (s == 200 ? "" : t));
+                    p.set(plain(s, s == 200 && t.isEmpty() ? "{}" : t));
+                });
+    }
+
+    // ---- deferred jobs
+
+    private Promise<HttpResponse> job(CoreState.Act act, String id) {
+        return ask(new CoreState.Change(act, 0, URLDecoder.decode(id, StandardCharsets.UTF_8), ""));
+    }
+
+    private Promise<HttpResponse> submit(String id, String text) {
+        var j = new Job();
+        j.id = URLDecoder.decode(id, StandardCharsets.UTF_8);
+        if (!j.id.matches("[A-Za-z0-9._-]{1,64}")) {
+            return Promise.of(
+                    plain(400, "Id: 1 to 64 letters, digits, dots, dashes or underlines"));
+        }
+        try {
+            read(j, Configurations.body(text));
+        } catch (Fault | com.typesafe.config.ConfigException e) {
+            return Promise.of(
+                    plain(400, "job: " + String.valueOf(e.getMessage()).replace('\n', ' ')));
+        }
+        var t = table.get();
+        var q = j.path.indexOf('?');
+        var r = t.find(j.host, q < 0 ? j.path : j.path.substring(0, q));
+        if (r.isEmpty()) {
+            return Promise.of(
+                    plain(
+                            404,
+                            "Path: no route for host '" + j.host + "' and path '" + j.path + "'"));
+        }
+        if (j.dueUs < 1_000_000) {
+            return Promise.of(
+                    plain(422, "DueMs: " + j.dueUs / 1000 + " cannot be met, 1000 is the least"));
+        }
+        if (!r.get().regions.isEmpty()) {
+            var o = outside.apply(r.get().regions);
+            if (!o.isEmpty()) {
+                return Promise.of(
+                        plain(
+                                422,
+                                "AllowedRegions of route '"
+                                        + r.get().name
+                                        + "' leave out region '"
+                                        + o
+                                        + "', where the core would keep the job"));
+            }
+        }
+        j.repeatable = r.get().repeatable();
+        j.resumable = r.get().kind == RouteTable.Kind.STREAMING && r.get().resumable;
+        j.region = j.region.isEmpty() ? settings.region : j.region;
+        if (!settings.zones.containsValue(j.region) || !r.get().allows(j.region)) {
+            return Promise.of(plain(400, "Region: '" + j.region + "' is not known or not allowed"));
+        }
+        var o = new Codec.Out();
+        j.write(o);
+        return ask(
+                new CoreState.Change(
+                        CoreState.Act.JOB_SUBMIT,
+                        0,
+                        j.id,
+                        Base64.getEncoder().encodeToString(o.bytes())));
+    }
+
+    private static void read(Job j, com.typesafe.config.Config c) {
+        j.host = c.getString("Hostname").toLowerCase(Locale.ROOT);
+        j.path = c.getString("Path");
+        if (!j.path.startsWith("/") || j.path.chars().anyMatch(x -> x <= ' ' || x > 126)) {
+            throw Fault.here(
+                    Fault.Code.CONFIGURATION,
+                    "read job",
+                    "Path: must begin with a slash and hold no blanks");
+        }
+        j.method = c.hasPath("Method") ? c.getString("Method") : "POST";
+        if (!j.method.matches("[A-Z]{1,16}")) {
+            throw Fault.here(
+                    Fault.Code.CONFIGURATION, "read job", "Method: must be a word in capitals");
+        }
+        j.region = c.hasPath("Region") ? c.getString("Region") : "";
+        j.body = (c.hasPath("Body") ? c.getString("Body") : "").getBytes(StandardCharsets.UTF_8);
+        j.dueUs = (long) (c.getDouble("DueMs") * 1000);
+        var f = new ArrayList<String>();
+        if (c.hasPath("Headers")) {
+            for (var e : c.getObject("Headers").entrySet()) {
+                var v = String.valueOf(e.getValue().unwrapped());
+                if (!e.getKey().matches("[A-Za-z0-9-]{1,64}")
+                        || v.chars().anyMatch(x -> x < ' ' || x > 126)) {
+                    throw Fault.here(
+                            Fault.Code.CONFIGURATION,
+                            "read job",
+                            "Headers: '" + e.getKey() + "' is no plain field");
+                }
+                f.add(e.getKey() + ": " + v);
+            }
+        }
+        Collections.sort(f);
+        j.fields = f;
+        j.digest =
+                CoreState.sha(
+                        j.host + "\n" + j.path + "\n" + j.method + "\n" + j.region + "\n" + f + "\n"
+                                + j.dueUs,
+                        j.body);
+    }
+
+    // ---- replicas
+
+    private HttpResponse beat(String id, String text) {
+        try {
+            var now = Clocks.nowUs();
+            var c = Configurations.body(text);
+            var r = new FleetRecords.Replica();
+            r.id = URLDecoder.decode(id, StandardCharsets.UTF_8);
+            r.service = c.getString("Backend");
+            r.address = c.getString("Address");
+            Settings.address("Address", r.address);
+            r.zone = c.getString("Zone");
+            r.capacity = c.hasPath("Capacity") ? Math.max(1, (int) c.getDouble("Capacity")) : 1;
+            r.draining = c.hasPath("State") && c.getString("State").equals("draining");
+            r.seq = c.getLong("Sequence");
+            r.warmAtUs =
+                    now
+                            + (c.hasPath("WarmupLeftMs")
+                                    ? (long) (c.getDouble("WarmupLeftMs") * 1000)
+                                    : 0);
+            r.leavesAtUs =
+                    c.hasPath("RemainingMs")
+                            ? now + (long) (c.getDouble("RemainingMs") * 1000)
+                            : Long.MAX_VALUE;
+            r.heardUs = now;
+            registry.take(r, true);
+            if (r.draining) {
+                RingLog.note("replica " + r.id + " drains");
+                flood.run();
+            }
+            return plain(200, "{}");
+        } catch (Fault | com.typesafe.config.ConfigException e) {
+            return plain(400, "beat: " + String.valueOf(e.getMessage()).replace('\n', ' '));
+        }
+    }
+
+    private HttpResponse deregister(String id) {
+        registry.replica(URLDecoder.decode(id, StandardCharsets.UTF_8))
+                .ifPresent(
+                        r -> {
+                            var n = new FleetRecords.Replica();
+                            n.id = r.id;
+                            n.service = r.service;
+                            n.address = r.address;
+                            n.zone = r.zone;
+                            n.seq = r.seq + 1;
+                            n.gone = true;
+                            n.draining = true;
+                            n.heardUs = Clocks.nowUs();
+                            registry.take(n, true);
+                            flood.run();
+                        });
+        return plain(200, "{}");
+    }
+
+    // ---- clients
+
+    private HttpResponse lookup(HttpRequest q) {
+        var zone = Optional.ofNullable(q.getQueryParameter("Zone")).orElse("");
+        var region = Optional.ofNullable(q.getQueryParameter("Region")).orElse("");
+        var open =
+                registry.members(Clocks.nowUs()).stream()
+                        .filter(e -> e.ready && !e.leaving)
+                        .toList();
+        var near = open.stream().filter(e -> e.zone.equals(zone)).toList();
+        if (near.isEmpty()) {
+            near = open.stream().filter(e -> e.region.equals(region)).toList();
+        }
+        if (near.isEmpty()) {
+            near = open;
+        }
+        if (near.isEmpty()) {
+            return plain(503, "no edge is ready");
+        }
+        var b = new StringBuilder("{\"Addresses\":[");
+        near.stream()
+                .limit(MOST_ADDRESSES)
+                .forEach(
+                        e ->
+                                b.append(b.charAt(b.length() - 1) == '[' ? "" : ",")
+                                        .append('"')
+                                        .append(e.front)
+                                        .append('"'));
+        var ttl = Math.min(settings.bounds.ttlMaxS, 4.0);
+        return plain(200, b.append("],\"TtlS\":").append(ttl).append('}').toString());
+    }
+}
--- a/pantry/src/main/java/martenloom/pantry/chain/ChainCore.java
+++ b/core/src/main/java/martenloom/core/chain/ChainCore.java
@@ -1,19 +1,31 @@
-package martenloom.pantry.chain;
-
-import java.util.*;
-import java.util.function.*;
-import martenloom.galley.record.*;
-import martenloom.pantry.state.*;
+package martenloom.core.chain;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Supplier;
+import martenloom.common.codec.Codec;
+import martenloom.core.state.CoreState;
 
 /**
- * The chain and its view, as one owner of events that answers with commands; it does no input or output and reads no
- * clock. Every member keeps a ledger on disk: the highest view it has promised to, the view in which it last accepted a
- * state, and that state. A view is named by a ballot and is agreed when a majority of the roster has promised it; the
- * one who asked then heads a chain of exactly those who promised, passes the newest state found among them down it, and
- * the tail's answer makes the view active. Writes go the same way, one at a time: each member syncs, the tail
- * acknowledges. Since every member of the chain syncs each write and a chain holds a majority, any later view finds it.
- * A member with a wiped disk promises nothing; it comes back as a learner of a new view, under a number drawn at its
- * start, so that nothing meant for its former life can reach it. See docs/design.md for the argument.
+ * The chain and its view, as one owner of events that answers with commands; it does no input or
+ * output and reads no clock. Every member keeps a member state on disk: the highest view it has
+ * promised to, the view in which it last accepted a state, and that state. A view is named by a
+ * ballot and is agreed when a majority of the roster has promised it; the one who asked then heads
+ * a chain of exactly those who promised, passes the newest state found among them down it, and the
+ * tail's answer makes the view active. Writes go the same way, one at a time: each member syncs,
+ * the tail acknowledges. Since every member of the chain syncs each write and a chain holds a
+ * majority, any later view finds it. A member with a wiped disk promises nothing; it comes back as
+ * a learner of a new view, under a number drawn at its start, so that nothing meant for its former
+ * life can reach it. See docs/design.md for the argument.
  */
 public final class ChainCore {
     public static final int PREPARE = 1;
@@ -21,15 +33,15 @@
     public static final int PASS = 3;
     public static final int PASS_ACK = 4;
     public static final int NACK = 5;
-    public static final int PULSE = 6;
-    public static final int PULSE_ACK = 7;
+    public static final int HEARTBEAT = 6;
+    public static final int HEARTBEAT_ACK = 7;
     public static final int NEWS = 8;
     public static final int HERE = 9;
     public static final int PULL = 10;
     public static final int SNAPSHOT = 11;
     public static final int STEP = 12;
 
-    private static final long PULSE_US = 200_000;
+    private static final long HEARTBEAT_US = 200_000;
     private static final long SILENT_US = 900_000;
     private static final long CONTENT_US = 600_000;
     private static final long RANK_US = 250_000;
@@ -39,8 +51,12 @@
     private static final long SICK_DISK_US = 800_000;
     private static final long RESEND_US = 400_000;
     private static final long SETTLE_US = 1_000_000;
-    private static final int INBOX = 256;
-    /** A member of the roster that was not heard for so long, by one head all the time, is taken off when it is replaced. */
+    private static final int QUEUE = 256;
+
+    /**
+     * A member of the roster that was not heard for so long, by one head all the time, is taken off
+     * when it is replaced.
+     */
     public static final long GONE_US = 120_000_000;
 
     /** A view's name; the higher number wins, then the address. */
@@ -52,65 +68,78 @@
             return n != o.n ? Long.compare(n, o.n) : who.compareTo(o.who);
         }
 
-        void write(Rec.Out o) {
+        void write(Codec.Out o) {
             o.i64(n).text(who);
         }
 
-        static Ballot read(Rec.In in) {
+        static Ballot read(Codec.In in) {
             return new Ballot(in.i64(), in.text());
         }
     }
 
     /** What a member keeps on disk. */
-    public static final class Ledger {
+    public static final class MemberState {
         public final Ballot promised;
         public final Ballot accepted;
         public final CoreState state;
 
-        public Ledger(Ballot p, Ballot a, CoreState s) {
+        public MemberState(Ballot p, Ballot a, CoreState s) {
             promised = p;
             accepted = a;
             state = s;
         }
 
         public byte[] bytes() {
-            var o = new Rec.Out();
+            var o = new Codec.Out();
             promised.write(o);
             accepted.write(o);
             return o.blob(state.bytes()).bytes();
         }
 
-        public static Ledger of(byte[] b) {
-            var in = new Rec.In(b, false);
-            return new Ledger(Ballot.read(in), Ballot.read(in), CoreState.of(in.blob()));
+        public static MemberState of(byte[] b) {
+            var in = new Codec.In(b, false);
+            return new MemberState(Ballot.read(in), Ballot.read(in), CoreState.of(in.blob()));
         }
     }
 
-    public enum Mode { LEARNING, IDLE, BIDDING, STARTING, HEADING, FOLLOWING }
+    /** What this member is doing; exactly one at any time. */
+    public enum Mode {
+        LEARNING,
+        IDLE,
+        BIDDING,
+        STARTING,
+        HEADING,
+        FOLLOWING
+    }
 
+    /** What the owner of a chain member has to carry out, in the order given. */
     public sealed interface Command permits Send, Store, Answer, Committed {}
 
-    public record Send(String to, byte[] rec) implements Command {}
+    /** Send a record to another member; it may be lost. */
+    public record Send(String to, byte[] record) implements Command {}
 
-    public record Store(long token, Ledger ledger) implements Command {}
+    /** Make the state durable, then call onStored with the token. */
+    public record Store(long token, MemberState memberState) implements Command {}
 
-    public record Answer(long errand, int status, String text) implements Command {}
+    /** Answer a request that onAsk was called with; the status is one of HTTP. */
+    public record Answer(long request, int status, String text) implements Command {}
 
+    /** A newer state is known to be committed. */
     public record Committed(CoreState state) implements Command {}
 
-    private record Asked(long errand, CoreState.Change change) {}
+    private record Asked(long request, CoreState.Change change) {}
 
-    /** An answer that writes nothing, until the pulse that proves this head is back. */
-    private record Unproven(long errand, CoreState.Outcome outcome, long barrier) {}
+    /** An answer that writes nothing, until the heartbeat that proves this head is back. */
+    private record Unproven(long request, CoreState.Outcome outcome, long barrier) {}
 
-    private record Voice(Ballot accepted, long edition, Optional<CoreState> state) {}
+    private record Vote(Ballot accepted, long edition, Optional<CoreState> state) {}
 
     private static final class Bid {
         final Ballot b;
         final long startUs;
         long askedUs;
         long majorityUs;
-        final Map<String, Voice> yes = new TreeMap<>();
+        final Map<String, Vote> yes = new TreeMap<>();
         final Map<String, Long> learners = new TreeMap<>();
         final Set<String> asked = new TreeSet<>();
 
@@ -130,11 +159,11 @@
     private final Comparator<String> near;
     private final List<Command> out = new ArrayList<>();
     private final Deque<Runnable> deferred = new ArrayDeque<>();
-    private final Deque<Asked> inbox = new ArrayDeque<>();
+    private final Deque<Asked> queue = new ArrayDeque<>();
     private final Map<String, Seen> outside = new TreeMap<>();
     private Mode mode;
-    private Ledger led;
-    private Optional<Ledger> storing = Optional.empty();
+    private MemberState memberState;
+    private Optional<MemberState> storing = Optional.empty();
     private Runnable afterStore = () -> {};
     private long storeToken;
     private long storeSinceUs;
@@ -152,10 +181,10 @@
     private long awayUs;
     private Optional<CoreState.Change> delta = Optional.empty();
     private long viewSinceUs;
-    private long pulseN;
-    private long pulseAckN;
-    private long pulseAckUs;
-    private long pulseSentUs;
+    private long heartbeatN;
+    private long heartbeatAckN;
+    private long heartbeatAckUs;
+    private long heartbeatSentUs;
     private long provenUs;
     private final long[] sentAt = new long[64];
     private long passSentUs;
@@ -166,15 +195,18 @@
     private List<String> chainSeen = List.of();
     private long newsSentUs;
 
-    public ChainCore(String me, long nonce, Optional<Ledger> disk, Comparator<String> near, long now) {
+    public ChainCore(
+            String me, long nonce, Optional<MemberState> disk, Comparator<String> near, long now) {
         this.me = me;
         this.nonce = nonce;
         this.near = near;
         this.now = now;
         mode = disk.isPresent() ? Mode.IDLE : Mode.LEARNING;
-        led = disk.orElse(new Ledger(Ballot.ZERO, Ballot.ZERO, CoreState.founded(List.of())));
-        committed = CoreState.founded(led.state.roster);
-        topN = led.promised.n;
+        memberState =
+                disk.orElse(
+                        new MemberState(Ballot.ZERO, Ballot.ZERO, CoreState.founded(List.of())));
+        committed = CoreState.founded(memberState.state.roster);
+        topN = memberState.promised.n;
         clockSinceUs = now;
         heardUs = now - SILENT_US;
         quietUntil = now + 150_000;
@@ -190,8 +222,8 @@
         return committed;
     }
 
-    public Ledger ledger() {
-        return led;
+    public MemberState memberState() {
+        return memberState;
     }
 
     public List<String> chain() {
@@ -208,7 +240,7 @@
 
     /** The job clock: goes on from what the state says, by this member's own steady clock. */
     public long jobClockUs(long t) {
-        return led.state.book.clockUs + Math.max(0, t - clockSinceUs) + awayUs;
+        return memberState.state.jobTable.clockUs + Math.max(0, t - clockSinceUs) + awayUs;
     }
 
     /** Told at a start: how long this member was away, as far as is known. */
@@ -226,10 +258,13 @@
 
     /** Time since this member last knew that a majority held together. */
     public long staleUs(long t) {
-        return t - (mode == Mode.HEADING ? pulseAckUs : toldUs);
+        return t - (mode == Mode.HEADING ? heartbeatAckUs : toldUs);
     }
 
-    /** When the newest pulse that came back was sent: until then at least, no other view had been agreed. */
+    /**
+     * When the newest heartbeat that came back was sent: until then at least, no other view had
+     * been agreed.
+     */
     public long provenUs() {
         return provenUs;
     }
@@ -255,26 +290,26 @@
         if (m == Mode.HEADING) {
             missingUs.clear();
             viewSinceUs = now;
-            pulseAckUs = now;
+            heartbeatAckUs = now;
             headSeen = me;
         }
         mode = m;
     }
 
     private void refuseAll() {
-        inWork.ifPresent(a -> out.add(new Answer(a.errand, 503, "the chain is being mended")));
+        inWork.ifPresent(a -> out.add(new Answer(a.request, 503, "the chain is being mended")));
         inWork = Optional.empty();
-        unproven.forEach(u -> out.add(new Answer(u.errand, 503, "the chain is being mended")));
+        unproven.forEach(u -> out.add(new Answer(u.request, 503, "the chain is being mended")));
         unproven.clear();
-        inbox.forEach(a -> out.add(new Answer(a.errand, 503, "the chain is being mended")));
-        inbox.clear();
+        queue.forEach(a -> out.add(new Answer(a.request, 503, "the chain is being mended")));
+        queue.clear();
     }
 
-    private void send(String to, Rec.Out o) {
+    private void send(String to, Codec.Out o) {
         out.add(new Send(to, o.bytes()));
     }
 
-    private void store(Ledger l, Runnable then) {
+    private void store(MemberState l, Runnable then) {
         storing = Optional.of(l);
         afterStore = then;
         storeSinceUs = now;
@@ -284,7 +319,7 @@
     /** Runs at once when the disk is free, else when it is. */
     private void whenFree(Runnable r) {
         if (storing.isPresent()) {
-            if (deferred.size() < INBOX) {
+            if (deferred.size() < QUEUE) {
                 deferred.add(r);
             }
         } else {
@@ -297,11 +332,11 @@
         if (storing.isEmpty() || token != storeToken) {
             return;
         }
-        if (led.state.edition != storing.get().state.edition) {
+        if (memberState.state.edition != storing.get().state.edition) {
             clockSinceUs = now;
             awayUs = 0;
         }
-        led = storing.get();
+        memberState = storing.get();
         storing = Optional.empty();
         var a = afterStore;
         afterStore = () -> {};
@@ -330,14 +365,17 @@
     }
 
     private void tickWait() {
-        if (storing.isEmpty() && now >= quietUntil + (bids == 0 ? rank() * RANK_US : 0) && now - heardUs > SILENT_US + rank() * RANK_US && led.state.roster.contains(me)) {
+        if (storing.isEmpty()
+                && now >= quietUntil + (bids == 0 ? rank() * RANK_US : 0)
+                && now - heardUs > SILENT_US + rank() * RANK_US
+                && memberState.state.roster.contains(me)) {
             bids++;
             startBid();
         }
     }
 
     private int rank() {
-        var c = chainSeen.isEmpty() ? led.state.roster : chainSeen;
+        var c = chainSeen.isEmpty() ? memberState.state.roster : chainSeen;
         var i = c.indexOf(me);
         return i < 0 ? c.size() : i;
     }
@@ -349,14 +387,16 @@
             become(Mode.IDLE);
             return;
         }
-        if (now - pulseSentUs >= PULSE_US) {
-            pulse();
+        if (now - heartbeatSentUs >= HEARTBEAT_US) {
+            heartbeat();
         }
-        if (now - newsSentUs >= PULSE_US) {
+        if (now - newsSentUs >= HEARTBEAT_US) {
             newsSentUs = now;
             news();
         }
-        if (now - pulseAckUs > SILENT_US && now - viewSinceUs > SILENT_US && storing.isEmpty()) {
+        if (now - heartbeatAckUs > SILENT_US
+                && now - viewSinceUs > SILENT_US
+                && storing.isEmpty()) {
             startBid();
             return;
         }
@@ -384,7 +424,7 @@
             if (now - e.getValue().firstUs < SETTLE_US / 2 || chain.contains(e.getKey())) {
                 continue;
             }
-            if (!led.state.roster.contains(e.getKey())) {
+            if (!memberState.state.roster.contains(e.getKey())) {
                 onAsk(now, -1, new CoreState.Change(CoreState.Act.ROSTER, 0, e.getKey(), ""));
                 return;
             }
@@ -397,24 +437,34 @@
     private final Map<String, Long> missingUs = new TreeMap<>();
     private int leastRoster = Integer.MAX_VALUE;
 
-    /** The fewest members that still bear what is to be borne; without this word nobody is ever taken off. */
+    /**
+     * The fewest members that still bear what is to be borne; without this word nobody is ever
+     * taken off.
+     */
     public void onLeastRoster(int n) {
         leastRoster = n;
     }
 
     /**
-     * Takes one member at a time off the roster: one that this head has missed for long while more members are in the chain
-     * than must be. Neighbouring rosters differ by one, so their majorities meet as they do when it grows.
+     * Takes one member at a time off the roster: one that this head has missed for long while more
+     * members are in the chain than must be. Neighbouring rosters differ by one, so their
+     * majorities meet as they do when it grows.
      */
     private void strikeGone() {
-        var r = led.state.roster;
-        missingUs.keySet().removeIf(m -> chain.contains(m) || !r.contains(m) || outside.containsKey(m));
+        var r = memberState.state.roster;
+        missingUs
+                .keySet()
+                .removeIf(m -> chain.contains(m) || !r.contains(m) || outside.containsKey(m));
         for (var m : r) {
             if (!chain.contains(m)) {
                 missingUs.putIfAbsent(m, now);
             }
         }
-        var gone = missingUs.entrySet().stream().filter(e -> now - e.getValue() > GONE_US).map(Map.Entry::getKey).findFirst();
+        var gone =
+                missingUs.entrySet().stream()
+                        .filter(e -> now - e.getValue() > GONE_US)
+                        .map(Map.Entry::getKey)
+                        .findFirst();
         if (gone.isPresent() && r.size() > leastRoster && chain.size() >= leastRoster) {
             missingUs.remove(gone.get());
             onAsk(now, -1, new CoreState.Change(CoreState.Act.ROSTER_OUT, 0, gone.get(), ""));
@@ -424,30 +474,41 @@
     // ---- agreeing on a view
 
     private void startBid() {
-        topN = Math.max(topN, led.promised.n) + 1;
+        topN = Math.max(topN, memberState.promised.n) + 1;
         var b = new Ballot(topN, me);
         become(Mode.BIDDING);
         bid = new Bid(b, now);
-        store(new Ledger(b, led.accepted, led.state), () -> {
-            if (mode != Mode.BIDDING || !bid.b.equals(b)) {
-                return;
-            }
-            bid.yes.put(me, new Voice(led.accepted, led.state.edition, Optional.of(led.state)));
-            bid.asked.add(me);
-            askRoster(led.state.roster);
-            tryForm();
-        });
+        store(
+                new MemberState(b, memberState.accepted, memberState.state),
+                () -> {
+                    if (mode != Mode.BIDDING || !bid.b.equals(b)) {
+                        return;
+                    }
+                    bid.yes.put(
+                            me,
+                            new Vote(
+                                    memberState.accepted,
+                                    memberState.state.edition,
+                                    Optional.of(memberState.state)));
+                    bid.asked.add(me);
+                    askRoster(memberState.state.roster);
+                    tryForm();
+                });
     }
 
     private void askRoster(List<String> roster) {
         var again = now - bid.askedUs > ASK_AGAIN_US;
         bid.askedUs = again || bid.askedUs == 0 ? now : bid.askedUs;
         for (var m : roster) {
-            if (bid.asked.add(m) || again && !m.equals(me) && !bid.yes.containsKey(m) && !bid.learners.containsKey(m)) {
-                var o = new Rec.Out(PREPARE);
+            if (bid.asked.add(m)
+                    || again
+                            && !m.equals(me)
+                            && !bid.yes.containsKey(m)
+                            && !bid.learners.containsKey(m)) {
+                var o = new Codec.Out(PREPARE);
                 bid.b.write(o);
-                led.accepted.write(o);
-                send(m, o.i64(led.state.edition));
+                memberState.accepted.write(o);
+                send(m, o.i64(memberState.state.edition));
             }
         }
     }
@@ -465,51 +526,56 @@
     private void onPrepare(String from, Ballot b, Ballot acc, long ed) {
         topN = Math.max(topN, b.n);
         if (mode == Mode.LEARNING) {
-            var o = new Rec.Out(PROMISE);
+            var o = new Codec.Out(PROMISE);
             b.write(o);
             send(from, o.u8(2).i64(nonce));
             return;
         }
-        if (b.compareTo(led.promised) < 0 || content(from)) {
+        if (b.compareTo(memberState.promised) < 0 || content(from)) {
             refusePrepare(from, b);
             return;
         }
-        if (b.equals(led.promised) && mode == Mode.FOLLOWING) {
+        if (b.equals(memberState.promised) && mode == Mode.FOLLOWING) {
             return;
         }
         heardUs = now;
-        if (b.equals(led.promised)) {
+        if (b.equals(memberState.promised)) {
             promise(from, b, acc, ed);
             return;
         }
         become(Mode.IDLE);
-        store(new Ledger(b, led.accepted, led.state), () -> promise(from, b, acc, ed));
+        store(
+                new MemberState(b, memberState.accepted, memberState.state),
+                () -> promise(from, b, acc, ed));
     }
 
     private void promise(String to, Ballot b, Ballot acc, long ed) {
-        var o = new Rec.Out(PROMISE);
+        var o = new Codec.Out(PROMISE);
         b.write(o);
         o.u8(1);
-        led.accepted.write(o);
-        o.i64(led.state.edition);
-        var c = led.accepted.compareTo(acc);
-        var newer = c > 0 || c == 0 && led.state.edition > ed;
-        send(to, o.blob(newer ? led.state.bytes() : new byte[0]));
+        memberState.accepted.write(o);
+        o.i64(memberState.state.edition);
+        var c = memberState.accepted.compareTo(acc);
+        var newer = c > 0 || c == 0 && memberState.state.edition > ed;
+        send(to, o.blob(newer ? memberState.state.bytes() : new byte[0]));
     }
 
-    /** A member that hears its head well gives no promise to another: one that cannot hear must not upset the rest. */
+    /**
+     * A member that hears its head well gives no promise to another: one that cannot hear must not
+     * upset the rest.
+     */
     private boolean content(String from) {
         return mode == Mode.FOLLOWING && !from.equals(headSeen) && now - heardUs < CONTENT_US
-            || mode == Mode.HEADING && now - pulseAckUs < CONTENT_US;
+                || mode == Mode.HEADING && now - heartbeatAckUs < CONTENT_US;
     }
 
     private void refusePrepare(String from, Ballot b) {
-        var o = new Rec.Out(PROMISE);
+        var o = new Codec.Out(PROMISE);
         b.write(o);
-        send(from, o.u8(0).i64(led.promised.n));
+        send(from, o.u8(0).i64(memberState.promised.n));
     }
 
-    private void onPromise(String from, Rec.In in) {
+    private void onPromise(String from, Codec.In in) {
         var b = Ballot.read(in);
         var k = in.u8();
         if (k == 0) {
@@ -529,12 +595,17 @@
             var acc = Ballot.read(in);
             var ed = in.i64();
             var s = in.blob();
-            bid.yes.put(from, new Voice(acc, ed, s.length == 0 ? Optional.empty() : Optional.of(CoreState.of(s))));
+            bid.yes.put(
+                    from,
+                    new Vote(
+                            acc,
+                            ed,
+                            s.length == 0 ? Optional.empty() : Optional.of(CoreState.of(s))));
         }
         tryForm();
     }
 
-    private Voice best() {
+    private Vote best() {
         var v = bid.yes.get(me);
         for (var x : bid.yes.values()) {
             var c = x.accepted.compareTo(v.accepted);
@@ -559,7 +630,9 @@
         if (bid.majorityUs == 0) {
             bid.majorityUs = now;
         }
-        var all = roster.stream().allMatch(m -> bid.yes.containsKey(m) || bid.learners.containsKey(m));
+        var all =
+                roster.stream()
+                        .allMatch(m -> bid.yes.containsKey(m) || bid.learners.containsKey(m));
         if (all || now - bid.majorityUs > GATHER_US) {
             form(v.state.get());
         }
@@ -567,7 +640,15 @@
 
     private void form(CoreState s) {
         delta = Optional.empty();
-        var c = new ArrayList<>(s.roster.stream().filter(m -> !m.equals(me) && (bid.yes.containsKey(m) || bid.learners.containsKey(m))).toList());
+        var c =
+                new ArrayList<>(
+                        s.roster.stream()
+                                .filter(
+                                        m ->
+                                                !m.equals(me)
+                                                        && (bid.yes.containsKey(m)
+                                                                || bid.learners.containsKey(m)))
+                                .toList());
         c.sort(near);
         c.add(0, me);
         view = bid.b;
@@ -578,11 +659,13 @@
         become(Mode.STARTING);
         viewSinceUs = now;
         var b = view;
-        store(new Ledger(b, b, s), () -> {
-            if (mode == Mode.STARTING && view.equals(b)) {
-                passOn();
-            }
-        });
+        store(
+                new MemberState(b, b, s),
+                () -> {
+                    if (mode == Mode.STARTING && view.equals(b)) {
+                        passOn();
+                    }
+                });
     }
 
     private void tickStart() {
@@ -606,48 +689,62 @@
     private void passOn() {
         passSentUs = now;
         if (chain.size() == 1) {
-            onPassAck(view, led.state.edition);
+            onPassAck(view, memberState.state.edition);
             return;
         }
         if (delta.isPresent()) {
-            send(chain.get(1), step(view, chain, learners, led.state.edition, delta.get()));
+            send(chain.get(1), step(view, chain, learners, memberState.state.edition, delta.get()));
             delta = Optional.empty();
             return;
         }
-        send(chain.get(1), pass(view, chain, learners, led.state));
+        send(chain.get(1), pass(view, chain, learners, memberState.state));
     }
 
-    /** The same as a pass, as the change alone; a member that cannot take it is given the whole at the next sending. */
-    private static Rec.Out step(Ballot b, List<String> chain, Map<String, Long> learners, long ed, CoreState.Change c) {
-        var o = new Rec.Out(STEP);
+    /**
+     * The same as a pass, as the change alone; a member that cannot take it is given the whole at
+     * the next sending.
+     */
+    private static Codec.Out step(
+            Ballot b, List<String> chain, Map<String, Long> learners, long ed, CoreState.Change c) {
+        var o = new Codec.Out(STEP);
         b.write(o);
-        o.texts(chain).list(learners.entrySet(), (w, e) -> w.text(e.getKey()).i64(e.getValue())).i64(ed);
+        o.texts(chain)
+                .list(learners.entrySet(), (w, e) -> w.text(e.getKey()).i64(e.getValue()))
+                .i64(ed);
         c.write(o);
         return o;
     }
 
-    private void onStep(Ballot b, List<String> ch, Map<String, Long> ls, long ed, CoreState.Change c) {
+    private void onStep(
+            Ballot b, List<String> ch, Map<String, Long> ls, long ed, CoreState.Change c) {
         var at = ch.indexOf(me);
-        if (at < 1 || mode != Mode.FOLLOWING || !b.equals(led.promised) || !b.equals(led.accepted) || led.state.edition != ed - 1) {
+        if (at < 1
+                || mode != Mode.FOLLOWING
+                || !b.equals(memberState.promised)
+                || !b.equals(memberState.accepted)
+                || memberState.state.edition != ed - 1) {
             return;
         }
-        var n = led.state.decide(c).next;
+        var n = memberState.state.decide(c).next;
         if (n.isEmpty()) {
             return;
         }
         told();
-        store(new Ledger(b, b, n.get()), () -> {
-            if (at == ch.size() - 1) {
-                commit(b, ed);
-                ack(ch.get(at - 1), b, ed);
-            } else {
-                send(ch.get(at + 1), step(b, ch, ls, ed, c));
-            }
-        });
-    }
-
-    private static Rec.Out pass(Ballot b, List<String> chain, Map<String, Long> learners, CoreState s) {
-        var o = new Rec.Out(PASS);
+        store(
+                new MemberState(b, b, n.get()),
+                () -> {
+                    if (at == ch.size() - 1) {
+                        commit(b, ed);
+                        ack(ch.get(at - 1), b, ed);
+                    } else {
+                        send(ch.get(at + 1), step(b, ch, ls, ed, c));
+                    }
+                });
+    }
+
+    private static Codec.Out pass(
+            Ballot b, List<String> chain, Map<String, Long> learners, CoreState s) {
+        var o = new Codec.Out(PASS);
         b.write(o);
         o.texts(chain).list(learners.entrySet(), (w, e) -> w.text(e.getKey()).i64(e.getValue()));
         return o.blob(s.bytes());
@@ -659,33 +756,38 @@
         if (at < 1 || mode == Mode.LEARNING && (!lesson || ls.get(me) != nonce)) {
             return;
         }
-        if (mode != Mode.LEARNING && (b.compareTo(led.promised) < 0)) {
-            var o = new Rec.Out(NACK);
+        if (mode != Mode.LEARNING && (b.compareTo(memberState.promised) < 0)) {
+            var o = new Codec.Out(NACK);
             b.write(o);
-            send(ch.get(0), o.i64(led.promised.n));
+            send(ch.get(0), o.i64(memberState.promised.n));
             return;
         }
-        if (mode != Mode.LEARNING && lesson && !led.accepted.equals(b) && ls.get(me) != nonce) {
+        if (mode != Mode.LEARNING
+                && lesson
+                && !memberState.accepted.equals(b)
+                && ls.get(me) != nonce) {
             return;
         }
         var s = CoreState.of(sb);
         told();
-        if (led.accepted.equals(b) && led.state.edition >= s.edition && mode == Mode.FOLLOWING) {
+        if (memberState.accepted.equals(b)
+                && memberState.state.edition >= s.edition
+                && mode == Mode.FOLLOWING) {
             follow(b, ch, ls, s);
             return;
         }
-        if (led.accepted.equals(b) && led.state.edition > s.edition) {
+        if (memberState.accepted.equals(b) && memberState.state.edition > s.edition) {
             return;
         }
         become(Mode.FOLLOWING);
         view = b;
         chainSeen = ch;
         headSeen = ch.get(0);
-        store(new Ledger(b, b, s), () -> follow(b, ch, ls, s));
+        store(new MemberState(b, b, s), () -> follow(b, ch, ls, s));
     }
 
     private void follow(Ballot b, List<String> ch, Map<String, Long> ls, CoreState s) {
-        if (!led.accepted.equals(b) || led.state.edition != s.edition) {
+        if (!memberState.accepted.equals(b) || memberState.state.edition != s.edition) {
             return;
         }
         var at = ch.indexOf(me);
@@ -698,13 +800,13 @@
     }
 
     private void ack(String to, Ballot b, long ed) {
-        var o = new Rec.Out(PASS_ACK);
+        var o = new Codec.Out(PASS_ACK);
         b.write(o);
         send(to, o.i64(ed));
     }
 
     private void onPassAck(Ballot b, long ed) {
-        if (!b.equals(led.accepted) || !b.equals(view)) {
+        if (!b.equals(memberState.accepted) || !b.equals(view)) {
             return;
         }
         if (mode == Mode.FOLLOWING) {
@@ -715,26 +817,28 @@
             }
             return;
         }
-        if (mode == Mode.STARTING && ed == led.state.edition) {
+        if (mode == Mode.STARTING && ed == memberState.state.edition) {
             commit(b, ed);
             become(Mode.HEADING);
-            pulse();
+            heartbeat();
             work();
         } else if (mode == Mode.HEADING) {
             commit(b, ed);
-            if (inWork.isPresent() && ed == led.state.edition && storing.isEmpty()) {
+            if (inWork.isPresent() && ed == memberState.state.edition && storing.isEmpty()) {
                 var a = inWork.get();
                 inWork = Optional.empty();
-                out.add(new Answer(a.errand, 200, workText));
+                out.add(new Answer(a.request, 200, workText));
                 work();
             }
         }
     }
 
     private void commit(Ballot b, long ed) {
-        if (led.accepted.equals(b) && led.state.edition == ed && (ed > committed.edition || committed.edition == 0)) {
+        if (memberState.accepted.equals(b)
+                && memberState.state.edition == ed
+                && (ed > committed.edition || committed.edition == 0)) {
             var was = committed;
-            committed = led.state;
+            committed = memberState.state;
             if (was.edition != ed || !was.roster.equals(committed.roster)) {
                 out.add(new Committed(committed));
             }
@@ -749,28 +853,31 @@
         }
     }
 
-    // ---- pulses
+    // ---- heartbeats
 
-    private void pulse() {
-        pulseSentUs = now;
-        pulseN++;
-        sentAt[(int) (pulseN % sentAt.length)] = now;
+    private void heartbeat() {
+        heartbeatSentUs = now;
+        heartbeatN++;
+        sentAt[(int) (heartbeatN % sentAt.length)] = now;
         if (chain.size() == 1) {
-            pulseAck(pulseN);
+            heartbeatAck(heartbeatN);
             return;
         }
-        send(chain.get(1), pulse(view, pulseN, chain, committed.edition));
+        send(chain.get(1), heartbeat(view, heartbeatN, chain, committed.edition));
     }
 
-    private static Rec.Out pulse(Ballot b, long n, List<String> ch, long ed) {
-        var o = new Rec.Out(PULSE);
+    private static Codec.Out heartbeat(Ballot b, long n, List<String> ch, long ed) {
+        var o = new Codec.Out(HEARTBEAT);
         b.write(o);
         return o.i64(n).texts(ch).i64(ed);
     }
 
-    private void onPulse(Ballot b, long n, List<String> ch, long ed) {
+    private void onHeartbeat(Ballot b, long n, List<String> ch, long ed) {
         var at = ch.indexOf(me);
-        if (at < 1 || mode != Mode.FOLLOWING && mode != Mode.IDLE || !b.equals(led.promised) || !b.equals(led.accepted)) {
+        if (at < 1
+                || mode != Mode.FOLLOWING && mode != Mode.IDLE
+                || !b.equals(memberState.promised)
+                || !b.equals(memberState.accepted)) {
             return;
         }
         if (mode == Mode.IDLE) {
@@ -782,41 +889,41 @@
         headSeen = ch.get(0);
         commit(b, ed);
         if (at == ch.size() - 1) {
-            pulseAckTo(ch.get(at - 1), b, n);
+            heartbeatAckTo(ch.get(at - 1), b, n);
         } else {
-            send(ch.get(at + 1), pulse(b, n, ch, ed));
+            send(ch.get(at + 1), heartbeat(b, n, ch, ed));
         }
     }
 
-    private void pulseAckTo(String to, Ballot b, long n) {
-        var o = new Rec.Out(PULSE_ACK);
+    private void heartbeatAckTo(String to, Ballot b, long n) {
+        var o = new Codec.Out(HEARTBEAT_ACK);
         b.write(o);
         send(to, o.i64(n));
     }
 
-    private void onPulseAck(Ballot b, long n) {
+    private void onHeartbeatAck(Ballot b, long n) {
         if (!b.equals(view)) {
             return;
         }
         if (mode == Mode.FOLLOWING) {
             var at = chainSeen.indexOf(me);
             if (at > 0) {
-                pulseAckTo(chainSeen.get(at - 1), b, n);
+                heartbeatAckTo(chainSeen.get(at - 1), b, n);
             }
         } else if (mode == Mode.HEADING) {
-            pulseAck(n);
+            heartbeatAck(n);
         }
     }
 
-    private void pulseAck(long n) {
-        pulseAckUs = now;
-        pulseAckN = Math.max(pulseAckN, n);
-        if (pulseN - n < sentAt.length) {
+    private void heartbeatAck(long n) {
+        heartbeatAckUs = now;
+        heartbeatAckN = Math.max(heartbeatAckN, n);
+        if (heartbeatN - n < sentAt.length) {
             provenUs = Math.max(provenUs, sentAt[(int) (n % sentAt.length)]);
         }
-        while (!unproven.isEmpty() && pulseAckN >= unproven.peek().barrier) {
+        while (!unproven.isEmpty() && heartbeatAckN >= unproven.peek().barrier) {
             var u = unproven.poll();
-            out.add(new Answer(u.errand, u.outcome.status, u.outcome.text));
+            out.add(new Answer(u.request, u.outcome.status, u.outcome.text));
         }
     }
 
@@ -831,18 +938,20 @@
 
     private void news() {
         var to = new TreeSet<>(known);
-        to.addAll(led.state.roster);
+        to.addAll(memberState.state.roster);
         to.removeAll(chain);
         for (var m : to) {
-            var o = new Rec.Out(NEWS);
+            var o = new Codec.Out(NEWS);
             view.write(o);
             send(m, o.texts(chain).i64(committed.edition));
         }
     }
 
     private void onNews(String from, Ballot b, List<String> ch, long ed) {
-        if (b.compareTo(led.promised) < 0 && mode != Mode.LEARNING || mode == Mode.HEADING || mode == Mode.STARTING) {
-            send(from, new Rec.Out(HERE).i64(led.promised.n));
+        if (b.compareTo(memberState.promised) < 0 && mode != Mode.LEARNING
+                || mode == Mode.HEADING
+                || mode == Mode.STARTING) {
+            send(from, new Codec.Out(HERE).i64(memberState.promised.n));
             return;
         }
         headSeen = ch.get(0);
@@ -850,9 +959,9 @@
         topN = Math.max(topN, b.n);
         told();
         if (ed > committed.edition) {
-            send(from, new Rec.Out(PULL).i64(committed.edition));
+            send(from, new Codec.Out(PULL).i64(committed.edition));
         }
-        send(from, new Rec.Out(HERE).i64(0));
+        send(from, new Codec.Out(HERE).i64(0));
     }
 
     private void onHere(String from, long n) {
@@ -868,7 +977,7 @@
 
     private void onPull(String from, long ed) {
         if (committed.edition > ed) {
-            send(from, new Rec.Out(SNAPSHOT).blob(committed.bytes()));
+            send(from, new Codec.Out(SNAPSHOT).blob(committed.bytes()));
         }
     }
 
@@ -882,13 +991,13 @@
 
     // ---- changes asked for
 
-    public void onAsk(long t, long errand, CoreState.Change c) {
+    public void onAsk(long t, long request, CoreState.Change c) {
         now = Math.max(now, t);
-        if (mode != Mode.HEADING || inbox.size() + unproven.size() >= INBOX) {
-            out.add(new Answer(errand, 503, "not the head of an active chain"));
+        if (mode != Mode.HEADING || queue.size() + unproven.size() >= QUEUE) {
+            out.add(new Answer(request, 503, "not the head of an active chain"));
             return;
         }
-        inbox.add(new Asked(errand, c));
+        queue.add(new Asked(request, c));
         work();
     }
 
@@ -901,26 +1010,30 @@
     }
 
     /**
-     * One write at a time. Answers that write nothing are decided between writes, when all that is known is committed, and
-     * wait together for one pulse: on a long chain a round each would let askers that lose patience fill the inbox.
+     * One write at a time. Answers that write nothing are decided between writes, when all that is
+     * known is committed, and wait together for one heartbeat: on a long chain a round each would
+     * let askers that lose patience fill the queue.
      */
     private void work() {
-        var last = pulseN;
-        while (mode == Mode.HEADING && inWork.isEmpty() && storing.isEmpty() && !inbox.isEmpty()) {
-            decide(inbox.poll(), last + 1);
+        var last = heartbeatN;
+        while (mode == Mode.HEADING && inWork.isEmpty() && storing.isEmpty() && !queue.isEmpty()) {
+            decide(queue.poll(), last + 1);
         }
-        if (!unproven.isEmpty() && unproven.peekLast().barrier > pulseN) {
-            pulse();
+        if (!unproven.isEmpty() && unproven.peekLast().barrier > heartbeatN) {
+            heartbeat();
         }
     }
 
     private void decide(Asked a, long barrier) {
-        var ch = a.change.stamped(jobClockUs(now)).surveyed(a.change.act.ofPlacement() ? survey.get() : "");
-        var o = led.state.decide(ch);
+        var ch =
+                a.change
+                        .stamped(jobClockUs(now))
+                        .surveyed(a.change.act.ofPlacement() ? survey.get() : "");
+        var o = memberState.state.decide(ch);
         if (o.status == 400) {
-            out.add(new Answer(a.errand, 400, o.text));
+            out.add(new Answer(a.request, 400, o.text));
         } else if (o.next.isEmpty()) {
-            unproven.add(new Unproven(a.errand, o, barrier));
+            unproven.add(new Unproven(a.request, o, barrier));
         } else {
             write(a, ch, o);
         }
@@ -931,19 +1044,21 @@
         workSinceUs = now;
         workText = o.text;
         var b = view;
-        store(new Ledger(b, b, o.next.get()), () -> {
-            if (mode == Mode.HEADING && view.equals(b)) {
-                delta = Optional.of(ch);
-                passOn();
-            }
-        });
+        store(
+                new MemberState(b, b, o.next.get()),
+                () -> {
+                    if (mode == Mode.HEADING && view.equals(b)) {
+                        delta = Optional.of(ch);
+                        passOn();
+                    }
+                });
     }
 
-    // ---- records from siblings
+    // ---- records from peers
 
-    public void onRecord(long t, String from, byte[] rec) {
+    public void onRecord(long t, String from, byte[] record) {
         now = Math.max(now, t);
-        var in = new Rec.In(rec, true);
+        var in = new Codec.In(record, true);
         switch (in.type) {
             case PREPARE -> {
                 var b = Ballot.read(in);
@@ -975,8 +1090,8 @@
                 onPassAck(b, e);
             }
             case NACK -> onNack(Ballot.read(in), in.i64());
-            case PULSE -> onPulse(Ballot.read(in), in.i64(), in.texts(), in.i64());
-            case PULSE_ACK -> onPulseAck(Ballot.read(in), in.i64());
+            case HEARTBEAT -> onHeartbeat(Ballot.read(in), in.i64(), in.texts(), in.i64());
+            case HEARTBEAT_ACK -> onHeartbeatAck(Ballot.read(in), in.i64());
             case NEWS -> onNews(from, Ballot.read(in), in.texts(), in.i64());
             case HERE -> onHere(from, in.i64());
             case PULL -> onPull(from, in.i64());
--- /dev/null
+++ b/core/src/main/java/martenloom/core/duty/DutyService.java
@@ -0,0 +1,101 @@
+package martenloom.core.duty;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import martenloom.common.clock.Clocks;
+import martenloom.common.codec.Codec;
+import martenloom.common.fleet.FleetRecords;
+import martenloom.common.link.PeerLinks;
+import martenloom.core.api.ControlApi;
+import martenloom.core.chain.ChainCore;
+import martenloom.core.state.CoreState;
+
+/**
+ * The duty leases, kept by the head: a grant is written through the chain, a renewal needs a
+ * heartbeat that came after it. Another candidate is written only when the holder was not heard for
+ * longer than any lease of it can run.
+ */
+public final class DutyService {
+    public static final long LEASE_US = 2_500_000;
+    private static final long WAIT_US = 3_200_000;
+
+    private record Want(String key, String holder, long stamp, PeerLinks.Link link, long atUs) {}
+
+    private final ChainCore chain;
+    private final ControlApi.OrderForwarder ask;
+    private final Map<String, Want> wants = new TreeMap<>();
+    private final Map<String, Long> renewed = new HashMap<>();
+    private final Set<String> writing = new HashSet<>();
+
+    public DutyService(ChainCore c, ControlApi.OrderForwarder ask) {
+        chain = c;
+        this.ask = ask;
+    }
+
+    public void want(String key, String holder, long stamp, PeerLinks.Link l) {
+        var d = Optional.ofNullable(chain.committed().duties.get(key));
+        var held = wants.get(key);
+        if (held != null
+                && d.isPresent()
+                && held.holder.equals(d.get().holder)
+                && !holder.equals(held.holder)) {
+            return;
+        }
+        wants.put(key, new Want(key, holder, stamp, l, Clocks.nowUs()));
+    }
+
+    public void tick(long now) {
+        if (!chain.heading()) {
+            wants.clear();
+            renewed.clear();
+            return;
+        }
+        for (var w : List.copyOf(wants.values())) {
+            var d = Optional.ofNullable(chain.committed().duties.get(w.key));
+            if (d.isPresent() && d.get().holder.equals(w.holder)) {
+                if (chain.provenUs() > w.atUs) {
+                    renewed.put(w.key, now);
+                    wants.remove(w.key);
+                    grant(w, d.get().grant);
+                }
+            } else if (d.isEmpty()
+                    || now - Math.max(renewed.getOrDefault(w.key, 0L), chain.headingSinceUs())
+                            > WAIT_US) {
+                wants.remove(w.key);
+                write(w);
+            } else if (now - w.atUs > LEASE_US) {
+                wants.remove(w.key);
+            }
+        }
+    }
+
+    private void write(Want w) {
+        if (writing.add(w.key)) {
+            ask.ask(
+                    new CoreState.Change(CoreState.Act.DUTY, 0, w.key, w.holder),
+                    (s, t) -> {
+                        writing.remove(w.key);
+                        if (s == 200) {
+                            renewed.put(w.key, Clocks.nowUs());
+                            grant(w, Long.parseLong(t));
+                        }
+                    });
+        }
+    }
+
+    private static void grant(Want w, long g) {
+        w.link.send(
+                new Codec.Out(FleetRecords.DUTY_GRANT)
+                        .text(w.holder)
+                        .text(w.key)
+                        .i64(g)
+                        .i64(w.stamp)
+                        .i64(LEASE_US)
+                        .bytes());
+    }
+}
--- a/pantry/src/main/java/martenloom/pantry/tally/TallyDesk.java
+++ b/core/src/main/java/martenloom/core/load/LoadAggregator.java
@@ -1,15 +1,21 @@
-package martenloom.pantry.tally;
+package martenloom.core.load;
 
-import java.util.*;
-import martenloom.galley.record.*;
-import martenloom.galley.tally.*;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import martenloom.common.codec.Codec;
+import martenloom.common.load.LoadSummary;
 
 /**
- * The sums at one home daemon: the newest part of each edge that made it its home, the sums of the sibling homes, and
- * the whole of both. A part carries the edge's life and a number that rises; one that is late, repeated or of a former
- * life is passed over, and a part lapses when its edge is not heard or its link ends. No input or output, no clock.
+ * The sums at one home daemon: the newest part of each edge that made it its home, the sums of the
+ * peer homes, and the whole of both. A part carries the edge's life and a number that rises; one
+ * that is late, repeated or of a former life is passed over, and a part lapses when its edge is not
+ * heard or its link ends. No input or output, no clock.
  */
-public final class TallyDesk {
+public final class LoadAggregator {
     public static final long EDGE_US = 2_000_000;
     public static final long HOME_US = 1_500_000;
     private static final int MOST_PLACES = 512;
@@ -18,7 +24,7 @@
         final long life;
         long seq;
         long atUs;
-        Tally tally;
+        LoadSummary loadSummary;
 
         Part(long life) {
             this.life = life;
@@ -34,25 +40,27 @@
     private long version;
 
     /** Takes an edge's part; false when it is late, repeated or of a former life. */
-    public boolean take(String edge, long life, long seq, Tally t, long now) {
+    public boolean take(String edge, long life, long seq, LoadSummary t, long now) {
         return take(edges, edge, life, seq, t, now);
     }
 
-    /** Takes a sibling home's sum under the same rule. */
-    public boolean takeHome(String home, long life, long seq, Tally t, long now) {
+    /** Takes a peer home's sum under the same rule. */
+    public boolean takeHome(String home, long life, long seq, LoadSummary t, long now) {
         return take(homes, home, life, seq, t, now);
     }
 
-    private boolean take(Map<String, Part> to, String who, long life, long seq, Tally t, long now) {
+    private boolean take(
+            Map<String, Part> to, String who, long life, long seq, LoadSummary t, long now) {
         var p = Optional.ofNullable(to.get(who));
-        if (p.isPresent() && p.get().life == life && seq <= p.get().seq || formerLives.getOrDefault(who, Set.of()).contains(life)) {
+        if (p.isPresent() && p.get().life == life && seq <= p.get().seq
+                || formerLives.getOrDefault(who, Set.of()).contains(life)) {
             return false;
         }
         var n = p.filter(x -> x.life == life).orElseGet(() -> new Part(life));
         p.filter(x -> x != n).ifPresent(x -> retire(who, x.life));
         n.seq = seq;
         n.atUs = now;
-        n.tally = t;
+        n.loadSummary = t;
         to.put(who, n);
         version++;
         return true;
@@ -80,21 +88,21 @@
     }
 
     /** The sum of our own edges. */
-    public Tally own(long now) {
+    public LoadSummary own(long now) {
         return sum(edges, now - EDGE_US);
     }
 
     /** The sum of all edges, as far as the homes have told. */
-    public Tally whole(Tally own, long now) {
-        return new Tally().add(own).add(sum(homes, now - HOME_US));
+    public LoadSummary whole(LoadSummary own, long now) {
+        return new LoadSummary().add(own).add(sum(homes, now - HOME_US));
     }
 
-    private Tally sum(Map<String, Part> of, long since) {
-        var t = new Tally();
+    private LoadSummary sum(Map<String, Part> of, long since) {
+        var t = new LoadSummary();
         if (of.values().removeIf(p -> p.atUs < since)) {
             version++;
         }
-        of.values().forEach(p -> t.add(p.tally));
+        of.values().forEach(p -> t.add(p.loadSummary));
         return t;
     }
 
@@ -123,16 +131,21 @@
         return !placesHere.isEmpty();
     }
 
-    public void writePlaces(Rec.Out o, Way way) {
-        var m = switch (way) {
-            case EDGES -> placesHere;
-            case REGION -> placesAway;
-            case FAR -> placesFar;
-        };
+    public void writePlaces(Codec.Out o, Way way) {
+        var m =
+                switch (way) {
+                    case EDGES -> placesHere;
+                    case REGION -> placesAway;
+                    case FAR -> placesFar;
+                };
         o.list(m.entrySet(), (w, e) -> w.text(e.getKey()).text(e.getValue()));
         m.clear();
     }
 
     /** To whom places are told. */
-    public enum Way { EDGES, REGION, FAR }
+    public enum Way {
+        EDGES,
+        REGION,
+        FAR
+    }
 }
--- /dev/null
+++ b/core/src/main/java/martenloom/core/placement/PlacementService.java
@@ -0,0 +1,90 @@
+package martenloom.core.placement;
+
+import java.util.Set;
+import java.util.SortedSet;
+import java.util.TreeMap;
+import java.util.function.Function;
+import martenloom.common.log.RingLog;
+import martenloom.common.settings.Settings;
+import martenloom.core.chain.ChainCore;
+import martenloom.core.registry.Registry;
+import martenloom.core.state.CoreState;
+import martenloom.routing.placement.Placement;
+import martenloom.routing.route.RouteTable;
+
+/**
+ * What runs where, for the placement check: the survey that the chain's head takes in the step that
+ * decides a change, what the loss of any one region would strand now, and what an order would
+ * bring. The check itself is pure and lies with the routing text; the refusal is the chain's.
+ */
+public final class PlacementService {
+    private final Settings settings;
+    private final ChainCore chain;
+    private final Registry registry;
+    private final Function<CoreState, RouteTable> table;
+
+    public PlacementService(
+            Settings p, ChainCore chain, Registry registry, Function<CoreState, RouteTable> table) {
+        settings = p;
+        this.chain = chain;
+        this.registry = registry;
+        this.table = table;
+    }
+
+    /** What is registered and would run now, those that rest by order among them. */
+    public Placement now() {
+        var p = new Placement();
+        var ev = chain.committed().evacuated;
+        for (var r : registry.replicas()) {
+            if (!r.gone && !r.draining && !r.silent && !ev.contains(r.zone)) {
+                p.put(r.service, settings.regionOf(r.zone), r.id);
+            }
+        }
+        return p;
+    }
+
+    public SortedSet<Placement.Finding> exposure() {
+        var s = chain.committed();
+        var t = table.apply(s);
+        return CoreState.rested(now(), t, s.scales).findings(t);
+    }
+
+    private Set<Placement.Finding> exposed = Set.of();
+
+    /**
+     * The head says once what has become exposed, whoever brought it about: an order of the
+     * operator, a crash, a loss.
+     */
+    public void watch(long now) {
+        if (!chain.heading()
+                || now - chain.headingSinceUs() < 4_000_000
+                || chain.committed().revision == 0) {
+            return;
+        }
+        var f = exposure();
+        f.stream()
+                .filter(x -> !exposed.contains(x))
+                .forEach(x -> RingLog.say("exposure: " + x.text()));
+        exposed.stream()
+                .filter(x -> !f.contains(x))
+                .forEach(x -> RingLog.note("exposure ended: " + x.text()));
+        exposed = f;
+    }
+
+    /** What an operator's order would bring, without giving it. */
+    public String would(String key, String order) {
+        var s = chain.committed();
+        var t = table.apply(s);
+        var to = new TreeMap<>(s.scales);
+        if (order.equals("unload")) {
+            to.put(key, new CoreState.Scale(0, true, 0, Set.of()));
+        } else {
+            to.remove(key);
+        }
+        var p = now();
+        var bad = Placement.added(CoreState.rested(p, t, s.scales), CoreState.rested(p, t, to), t);
+        return bad.isEmpty()
+                ? "ok: nothing is stranded\n"
+                : String.join("\n", bad.stream().map(Placement.Finding::text).toList()) + "\n";
+    }
+}
--- a/pantry/src/main/java/martenloom/pantry/state/CoreState.java
+++ b/core/src/main/java/martenloom/core/state/CoreState.java
@@ -1,19 +1,29 @@
-package martenloom.pantry.state;
-
-import java.nio.charset.*;
-import java.security.*;
-import java.util.*;
-import martenloom.galley.fault.*;
-import martenloom.galley.record.*;
-import martenloom.menu.language.*;
-import martenloom.menu.placement.*;
-import martenloom.menu.route.*;
-import martenloom.menu.setup.*;
+package martenloom.core.state;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import martenloom.common.codec.Codec;
+import martenloom.common.error.Fault;
+import martenloom.routing.configuration.Configurations;
+import martenloom.routing.language.RoutingLanguage;
+import martenloom.routing.placement.Placement;
+import martenloom.routing.route.RouteTable;
 
 /**
- * What the core keeps: the setup as sent and in the menu language, the evacuations, the duty grants, and the roster of
- * core members. A state is immutable and carries its edition; decide() is the only way from one state to the next, and
- * says by status what the caller is to be told.
+ * What the core keeps: the configuration as sent and in the routing language, the evacuations, the
+ * duty grants, and the roster of core members. A state is immutable and carries its edition;
+ * decide() is the only way from one state to the next, and says by status what the caller is to be
+ * told.
  */
 public final class CoreState {
     private static final int HISTORY = 64;
@@ -22,25 +32,33 @@
     public final List<String> roster;
     public final long revision;
     public final String json;
-    public final String menu;
+    public final String routingText;
     public final Map<Long, String> history;
     public final Set<String> evacuated;
     public final Map<String, Duty> duties;
-    public final JobBook book;
-    /** Desired counts and who rests, by region and model; what is not named runs as it is registered. */
+    public final JobTable jobTable;
+
+    /**
+     * Desired counts and who rests, by region and model; what is not named runs as it is
+     * registered.
+     */
     public final Map<String, Scale> scales;
 
-    /** How many replicas of a model a region is to have, and which of them rest. Pinned by the operator: all rest. */
+    /**
+     * How many replicas of a model a region is to have, and which of them rest. Pinned by the
+     * operator: all rest.
+     */
     public record Scale(int desired, boolean pinned, long grant, Set<String> resting) {
-        private void write(Rec.Out o) {
+        private void write(Codec.Out o) {
             o.i32(desired).flag(pinned).i64(grant).texts(resting);
         }
 
-        private static Scale read(Rec.In in) {
+        private static Scale read(Codec.In in) {
             return new Scale(in.i32(), in.flag(), in.i64(), new TreeSet<>(in.texts()));
         }
     }
 
+    /** Who holds a duty and the number of the grant; a higher grant fences every lower one. */
     public static final class Duty {
         public final long grant;
         public final String holder;
@@ -51,14 +69,37 @@
         }
     }
 
+    /** The kinds of orders; their ordinals are part of the wire and disk formats. */
     public enum Act {
-        REPLACE, UPDATE, EVAC_START, EVAC_FINISH, DUTY, ROSTER, READ,
-        JOB_SUBMIT, JOB_GET, JOB_LIST, JOB_RESULT, JOB_CONFIRM, JOB_CANCEL, JOB_START, JOB_KEEP, JOB_DONE, JOB_BACK, JOB_CLOCK,
-        SCALE, PLACE, ROSTER_OUT;
+        REPLACE,
+        UPDATE,
+        EVAC_START,
+        EVAC_FINISH,
+        DUTY,
+        ROSTER,
+        READ,
+        JOB_SUBMIT,
+        JOB_GET,
+        JOB_LIST,
+        JOB_RESULT,
+        JOB_CONFIRM,
+        JOB_CANCEL,
+        JOB_START,
+        JOB_KEEP,
+        JOB_DONE,
+        JOB_BACK,
+        JOB_CLOCK,
+        SCALE,
+        PLACE,
+        ROSTER_OUT;
 
         /** What an edge may ask for as the holder of a duty. */
         public boolean ofRunner() {
-            return this == JOB_START || this == JOB_KEEP || this == JOB_DONE || this == JOB_BACK || this == SCALE;
+            return this == JOB_START
+                    || this == JOB_KEEP
+                    || this == JOB_DONE
+                    || this == JOB_BACK
+                    || this == SCALE;
         }
 
         /** What changes the placement, and is judged by what runs at the moment of the write. */
@@ -71,7 +112,10 @@
         }
     }
 
-    /** A change asked for: the act, the base it builds on, a subject (hall, duty key or member) and a body. */
+    /**
+     * A change asked for: the act, the base it builds on, a subject (zone, duty key or member) and
+     * a body.
+     */
     public static final class Change {
         public final Act act;
         public final long base;
@@ -98,21 +142,28 @@
             return new Change(act, base, subject, body, at, survey);
         }
 
-        /** The same, with what runs where as the head sees it at this moment: every member decides by the same words. */
+        /**
+         * The same, with what runs where as the head sees it at this moment: every member decides
+         * by the same words.
+         */
         public Change surveyed(String s) {
             return new Change(act, base, subject, body, atUs, s);
         }
 
-        public void write(Rec.Out o) {
+        public void write(Codec.Out o) {
             o.u8(act.ordinal()).i64(base).text(subject).text(body).i64(atUs).text(survey);
         }
 
-        public static Change read(Rec.In in) {
-            return new Change(Act.values()[in.u8()], in.i64(), in.text(), in.text(), in.i64(), in.text());
+        public static Change read(Codec.In in) {
+            return new Change(
+                    Act.values()[in.u8()], in.i64(), in.text(), in.text(), in.i64(), in.text());
         }
     }
 
-    /** What a change comes to: a status, a text for the caller, and the next state where there is one. */
+    /**
+     * What a change comes to: a status, a text for the caller, and the next state where there is
+     * one.
+     */
     public static final class Outcome {
         public final int status;
         public final String text;
@@ -125,35 +176,54 @@
         }
     }
 
-    private CoreState(long e, List<String> r, long rev, String j, String m, Map<Long, String> h, Set<String> ev, Map<String, Duty> d, JobBook b, Map<String, Scale> sc) {
+    private CoreState(
+            long e,
+            List<String> r,
+            long rev,
+            String j,
+            String m,
+            Map<Long, String> h,
+            Set<String> ev,
+            Map<String, Duty> d,
+            JobTable b,
+            Map<String, Scale> sc) {
         edition = e;
         roster = List.copyOf(r);
         revision = rev;
         json = j;
-        menu = m;
+        routingText = m;
         history = h;
         evacuated = ev;
         duties = d;
-        book = b;
+        jobTable = b;
         scales = sc;
     }
 
     public static CoreState founded(List<String> roster) {
-        return new CoreState(0, roster, 0, "", "", Map.of(), Set.of(), Map.of(), JobBook.EMPTY, Map.of());
+        return new CoreState(
+                0, roster, 0, "", "", Map.of(), Set.of(), Map.of(), JobTable.EMPTY, Map.of());
     }
 
     public byte[] bytes() {
-        var o = new Rec.Out().i64(edition).texts(roster).i64(revision).text(json).text(menu);
+        var o =
+                new Codec.Out()
+                        .i64(edition)
+                        .texts(roster)
+                        .i64(revision)
+                        .text(json)
+                        .text(routingText);
         o.list(history.entrySet(), (w, x) -> w.i64(x.getKey()).text(x.getValue()));
         o.texts(evacuated);
-        o.list(duties.entrySet(), (w, x) -> w.text(x.getKey()).i64(x.getValue().grant).text(x.getValue().holder));
-        book.write(o);
+        o.list(
+                duties.entrySet(),
+                (w, x) -> w.text(x.getKey()).i64(x.getValue().grant).text(x.getValue().holder));
+        jobTable.write(o);
         o.list(scales.entrySet(), (w, x) -> x.getValue().write(w.text(x.getKey())));
         return o.bytes();
     }
 
     public static CoreState of(byte[] b) {
-        var in = new Rec.In(b, false);
+        var in = new Codec.In(b, false);
         var e = in.i64();
         var r = in.texts();
         var rev = in.i64();
@@ -164,20 +234,25 @@
         var ev = new TreeSet<>(in.texts());
         var d = new TreeMap<String, Duty>();
         in.list(x -> d.put(x.text(), new Duty(x.i64(), x.text())));
-        var jb = JobBook.read(in);
+        var jb = JobTable.read(in);
         var sc = new TreeMap<String, Scale>();
         in.list(x -> sc.put(x.text(), Scale.read(x)));
         return new CoreState(e, r, rev, j, m, h, ev, d, jb, sc);
     }
 
-    private CoreState next(List<String> r, Set<String> ev, Map<String, Duty> d, JobBook b, Map<String, Scale> sc) {
-        return new CoreState(edition + 1, r, revision, json, menu, history, ev, d, b, sc);
+    private CoreState next(
+            List<String> r,
+            Set<String> ev,
+            Map<String, Duty> d,
+            JobTable b,
+            Map<String, Scale> sc) {
+        return new CoreState(edition + 1, r, revision, json, routingText, history, ev, d, b, sc);
     }
 
     public Outcome decide(Change c) {
         return switch (c.act) {
             case READ -> new Outcome(revision == 0 ? 404 : 200, json, Optional.empty());
-            case REPLACE, UPDATE -> setup(c);
+            case REPLACE, UPDATE -> configuration(c);
             case EVAC_START -> evacuate(c.subject, true);
             case EVAC_FINISH -> evacuate(c.subject, false);
             case DUTY -> duty(c);
@@ -190,59 +265,80 @@
     }
 
     private Outcome job(Change c) {
-        var s = book.decide(c, duties);
-        return new Outcome(s.status(), s.text(), s.next().map(b -> next(roster, evacuated, duties, b, scales)));
+        var s = jobTable.decide(c, duties);
+        return new Outcome(
+                s.status(),
+                s.text(),
+                s.next().map(b -> next(roster, evacuated, duties, b, scales)));
     }
 
-    private Outcome setup(Change c) {
+    private Outcome configuration(Change c) {
         var d = digest(c);
         try {
-            var rev = Setups.revisionOf(c.body);
+            var rev = Configurations.revisionOf(c.body);
             if (d.equals(history.get(rev))) {
                 return new Outcome(200, "", Optional.empty());
             }
             if (c.base != revision) {
                 return new Outcome(412, "revision " + revision + " is in place", Optional.empty());
             }
-            var s = c.act == Act.REPLACE ? Setups.replace(c.body) : Setups.update(json, c.body);
+            var s =
+                    c.act == Act.REPLACE
+                            ? Configurations.replace(c.body)
+                            : Configurations.update(json, c.body);
             if (rev <= revision) {
-                return new Outcome(400, "Revision: " + rev + " is not above " + revision, Optional.empty());
+                return new Outcome(
+                        400, "Revision: " + rev + " is not above " + revision, Optional.empty());
             }
-            return new Outcome(200, "", Optional.of(withSetup(s, d)));
+            return new Outcome(200, "", Optional.of(withConfiguration(s, d)));
         } catch (Fault f) {
             return new Outcome(400, f.getMessage(), Optional.empty());
         } catch (RuntimeException e) {
-            return new Outcome(400, "the setup cannot be read: " + e.getClass().getSimpleName(), Optional.empty());
+            return new Outcome(
+                    400,
+                    "the configuration cannot be read: " + e.getClass().getSimpleName(),
+                    Optional.empty());
         }
     }
 
-    private CoreState withSetup(Setups.Checked s, String d) {
+    private CoreState withConfiguration(Configurations.Checked s, String d) {
         var h = new LinkedHashMap<>(history);
         h.put(s.revision, d);
         while (h.size() > HISTORY) {
             h.remove(h.keySet().iterator().next());
         }
-        return new CoreState(edition + 1, roster, s.revision, s.json, s.menu, h, evacuated, duties, book, scales);
+        return new CoreState(
+                edition + 1,
+                roster,
+                s.revision,
+                s.json,
+                s.routingText,
+                h,
+                evacuated,
+                duties,
+                jobTable,
+                scales);
     }
 
-    private Outcome evacuate(String hall, boolean on) {
-        if (evacuated.contains(hall) == on) {
+    private Outcome evacuate(String zone, boolean on) {
+        if (evacuated.contains(zone) == on) {
             return new Outcome(200, "", Optional.empty());
         }
         var ev = new TreeSet<>(evacuated);
         if (on) {
-            ev.add(hall);
+            ev.add(zone);
         } else {
-            ev.remove(hall);
+            ev.remove(zone);
         }
-        return new Outcome(200, "", Optional.of(next(roster, ev, duties, book, scales)));
+        return new Outcome(200, "", Optional.of(next(roster, ev, duties, jobTable, scales)));
     }
 
     private Outcome duty(Change c) {
         var d = new TreeMap<>(duties);
         var g = d.getOrDefault(c.subject, new Duty(0, "")).grant + 1;
         d.put(c.subject, new Duty(g, c.body));
-        return new Outcome(200, String.valueOf(g), Optional.of(next(roster, evacuated, d, book, scales)));
+        return new Outcome(
+                200, String.valueOf(g), Optional.of(next(roster, evacuated, d, jobTable, scales)));
     }
 
     private Outcome enrol(String ip) {
@@ -251,7 +347,7 @@
         }
         var r = new ArrayList<>(roster);
         r.add(ip);
-        return new Outcome(200, "", Optional.of(next(r, evacuated, duties, book, scales)));
+        return new Outcome(200, "", Optional.of(next(r, evacuated, duties, jobTable, scales)));
     }
 
     private Outcome strike(String ip) {
@@ -260,25 +356,35 @@
         }
         var r = new ArrayList<>(roster);
         r.remove(ip);
-        return new Outcome(200, "", Optional.of(next(r, evacuated, duties, book, scales)));
+        return new Outcome(200, "", Optional.of(next(r, evacuated, duties, jobTable, scales)));
     }
 
     // ---- placement
 
-    /** The scaler's order, under the grant of its duty: how many are desired, then who rests, one a line. */
+    /**
+     * The scaler's order, under the grant of its duty: how many are desired, then who rests, one a
+     * line.
+     */
     private Outcome scale(Change c) {
         var g = c.subject.indexOf('/');
         var d = Optional.ofNullable(duties.get("scale/" + c.subject.substring(0, Math.max(0, g))));
         if (g < 1 || d.isEmpty() || d.get().grant != c.base) {
-            return new Outcome(409, "fence: grant " + c.base + " of scale/" + c.subject + " is not in force", Optional.empty());
+            return new Outcome(
+                    409,
+                    "fence: grant " + c.base + " of scale/" + c.subject + " is not in force",
+                    Optional.empty());
         }
         if (!c.body.matches("all|\\d{1,6}(\\n[^\\n]+)*")) {
-            return new Outcome(400, "order: a count, or all, and then one replica a line are expected", Optional.empty());
+            return new Outcome(
+                    400,
+                    "order: a count, or all, and then one replica a line are expected",
+                    Optional.empty());
         }
         var l = c.body.split("\n");
         var held = Optional.ofNullable(scales.get(c.subject));
         if (held.isPresent() && held.get().pinned) {
-            return new Outcome(409, "pinned: " + c.subject + " is unloaded by the operator", Optional.empty());
+            return new Outcome(
+                    409, "pinned: " + c.subject + " is unloaded by the operator", Optional.empty());
         }
         if (c.body.equals("all")) {
             return placed(c, Optional.empty());
@@ -287,9 +393,15 @@
         return placed(c, Optional.of(new Scale(Integer.parseInt(l[0]), false, c.base, rest)));
     }
 
-    /** The operator's order: a region's replicas of a model rest, or run again as the scaler says. */
+    /**
+     * The operator's order: a region's replicas of a model rest, or run again as the scaler says.
+     */
     private Outcome place(Change c) {
-        return placed(c, c.body.equals("unload") ? Optional.of(new Scale(0, true, 0, Set.of())) : Optional.empty());
+        return placed(
+                c,
+                c.body.equals("unload")
+                        ? Optional.of(new Scale(0, true, 0, Set.of()))
+                        : Optional.empty());
     }
 
     private Outcome placed(Change c, Optional<Scale> s) {
@@ -299,13 +411,16 @@
         }
         var to = new TreeMap<>(scales);
         s.ifPresentOrElse(x -> to.put(c.subject, x), () -> to.remove(c.subject));
-        var t = MenuText.compile(menu);
+        var t = RoutingLanguage.compile(routingText);
         var all = Placement.of(c.survey);
         var bad = Placement.added(rested(all, t, scales), rested(all, t, to), t);
         if (!bad.isEmpty()) {
-            return new Outcome(409, String.join("; ", bad.stream().map(Placement.Finding::text).toList()), Optional.empty());
+            return new Outcome(
+                    409,
+                    String.join("; ", bad.stream().map(Placement.Finding::text).toList()),
+                    Optional.empty());
         }
-        return new Outcome(200, "", Optional.of(next(roster, evacuated, duties, book, to)));
+        return new Outcome(200, "", Optional.of(next(roster, evacuated, duties, jobTable, to)));
     }
 
     /** What runs when those that rest by these orders are taken away. */
@@ -314,7 +429,14 @@
         for (var e : scales.entrySet()) {
             var g = e.getKey().indexOf('/');
             var model = e.getKey().substring(g + 1);
-            p = p.without(t.services.values().stream().filter(s -> s.engine && s.model.equals(model)).toList(), e.getKey().substring(0, g), e.getValue().pinned, e.getValue().resting);
+            p =
+                    p.without(
+                            t.services.values().stream()
+                                    .filter(s -> s.engine && s.model.equals(model))
+                                    .toList(),
+                            e.getKey().substring(0, g),
+                            e.getValue().pinned,
+                            e.getValue().resting);
         }
         return p;
     }
@@ -329,7 +451,8 @@
             md.update(head.getBytes(StandardCharsets.UTF_8));
             return HexFormat.of().formatHex(md.digest(body));
         } catch (NoSuchAlgorithmException e) {
-            throw Fault.here(Fault.Code.SETUP, "digest setup", "SHA-256 is not to be had");
+            throw Fault.here(
+                    Fault.Code.CONFIGURATION, "digest configuration", "SHA-256 is not to be had");
         }
     }
 }
--- a/pantry/src/main/java/martenloom/pantry/state/JobBook.java
+++ b/core/src/main/java/martenloom/core/state/JobTable.java
@@ -1,47 +1,52 @@
-package martenloom.pantry.state;
+package martenloom.core.state;
 
-import java.nio.charset.*;
-import java.util.*;
-import martenloom.galley.jobs.*;
-import martenloom.galley.record.*;
+import java.nio.charset.StandardCharsets;
+import java.util.Base64;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import martenloom.common.codec.Codec;
+import martenloom.common.jobs.Job;
 
 /**
- * The deferred jobs as part of the core's state: immutable, changed only by decide(), which is the one place that moves a
- * job from state to state. Whoever runs jobs shows the grant of its duty as a fence; a former holder's words are refused.
- * Times are on the book's own clock, which only goes forward and is carried in the state.
+ * The deferred jobs as part of the core's state: immutable, changed only by decide(), which is the
+ * one place that moves a job from state to state. Whoever runs jobs shows the grant of its duty as
+ * a fence; a former holder's words are refused. Times are on the book's own clock, which only goes
+ * forward and is carried in the state.
  */
-public final class JobBook {
+public final class JobTable {
     public static final int MOST_JOBS = 200;
     public static final int MOST_BODY = 256 << 10;
     public static final int MOST_BYTES = 4 << 20;
     public static final long RESULT_AGE_US = 3_600_000_000L;
     public static final long LATE_US = 10_000_000;
     public static final int MOST_RUNS = 8;
-    public static final JobBook EMPTY = new JobBook(0, Map.of());
+    public static final JobTable EMPTY = new JobTable(0, Map.of());
 
     public final long clockUs;
     public final Map<String, Job> jobs;
 
-    private JobBook(long c, Map<String, Job> j) {
+    private JobTable(long c, Map<String, Job> j) {
         clockUs = c;
         jobs = j;
     }
 
     /** What a call comes to. */
-    public record Said(int status, String text, Optional<JobBook> next) {}
+    public record Said(int status, String text, Optional<JobTable> next) {}
 
-    public void write(Rec.Out o) {
+    public void write(Codec.Out o) {
         o.i64(clockUs).list(jobs.values(), (w, j) -> j.write(w));
     }
 
-    public static JobBook read(Rec.In in) {
+    public static JobTable read(Codec.In in) {
         var c = in.i64();
         var m = new TreeMap<String, Job>();
-        in.list(x -> {
-            var j = Job.read(x);
-            return m.put(j.id, j);
-        });
-        return new JobBook(c, m);
+        in.list(
+                x -> {
+                    var j = Job.read(x);
+                    return m.put(j.id, j);
+                });
+        return new JobTable(c, m);
     }
 
     public long live() {
@@ -59,7 +64,7 @@
     private Said put(long at, Job j, String text) {
         var m = new TreeMap<>(jobs);
         m.put(j.id, j);
-        return new Said(200, text, Optional.of(new JobBook(Math.max(clockUs, at), m)));
+        return new Said(200, text, Optional.of(new JobTable(Math.max(clockUs, at), m)));
     }
 
     public Said decide(CoreState.Change c, Map<String, CoreState.Duty> duties) {
@@ -86,19 +91,32 @@
     }
 
     private Said submit(CoreState.Change c) {
-        var j = Job.read(new Rec.In(Base64.getDecoder().decode(c.body), false));
+        var j = Job.read(new Codec.In(Base64.getDecoder().decode(c.body), false));
         var old = Optional.ofNullable(jobs.get(j.id));
         if (old.isPresent()) {
-            return old.get().digest.equals(j.digest) ? no(200, old.get().json(Math.max(clockUs, c.atUs))) : no(409, "job '" + j.id + "' is known with other content");
+            return old.get().digest.equals(j.digest)
+                    ? no(200, old.get().json(Math.max(clockUs, c.atUs)))
+                    : no(409, "job '" + j.id + "' is known with other content");
         }
         if (j.bytes() > MOST_BODY) {
-            return no(413, "Body: the job has " + j.bytes() + " bytes, over the limit of " + MOST_BODY);
+            return no(
+                    413,
+                    "Body: the job has " + j.bytes() + " bytes, over the limit of " + MOST_BODY);
         }
         if (jobs.size() >= MOST_JOBS) {
-            return no(429, "the core keeps " + MOST_JOBS + " jobs, its limit; confirm results or come back later");
+            return no(
+                    429,
+                    "the core keeps "
+                            + MOST_JOBS
+                            + " jobs, its limit; confirm results or come back later");
         }
         if (bytes() + j.bytes() > MOST_BYTES) {
-            return no(429, "the core keeps " + bytes() + " bytes of jobs, near its limit of " + MOST_BYTES);
+            return no(
+                    429,
+                    "the core keeps "
+                            + bytes()
+                            + " bytes of jobs, near its limit of "
+                            + MOST_BYTES);
         }
         var now = Math.max(clockUs, c.atUs);
         j.submittedUs = now;
@@ -108,9 +126,17 @@
 
     private static Said result(Job j) {
         if (j.state != Job.State.DONE) {
-            return no(409, "job '" + j.id + "' is " + j.state.word() + (j.why.isEmpty() ? "" : ": " + j.why));
+            return no(
+                    409,
+                    "job '"
+                            + j.id
+                            + "' is "
+                            + j.state.word()
+                            + (j.why.isEmpty() ? "" : ": " + j.why));
         }
-        return j.confirmed ? no(410, "the result of job '" + j.id + "' was confirmed and let go") : no(200, new String(j.result, StandardCharsets.UTF_8));
+        return j.confirmed
+                ? no(410, "the result of job '" + j.id + "' was confirmed and let go")
+                : no(200, new String(j.result, StandardCharsets.UTF_8));
     }
 
     private Said confirm(CoreState.Change c, Job j) {
@@ -132,7 +158,13 @@
             return no(200, "");
         }
         if (!j.state.live() || j.state == Job.State.RUNNING && !j.repeatable) {
-            return no(409, "job '" + j.id + "' is " + j.state.word() + (j.state.live() ? " and may not be taken back" : ""));
+            return no(
+                    409,
+                    "job '"
+                            + j.id
+                            + "' is "
+                            + j.state.word()
+                            + (j.state.live() ? " and may not be taken back" : ""));
         }
         return put(c.atUs, ended(j, Job.State.CANCELLED, "cancelled", c.atUs), "");
     }
@@ -162,7 +194,7 @@
         if (j.state != Job.State.RUNNING || j.fence != c.base) {
             return no(409, "job '" + j.id + "' is " + j.state.word() + " under fence " + j.fence);
         }
-        var in = new Rec.In(Base64.getDecoder().decode(c.body), false);
+        var in = new Codec.In(Base64.getDecoder().decode(c.body), false);
         return switch (c.act) {
             case JOB_KEEP -> {
                 var n = j.copy();
@@ -173,10 +205,17 @@
                     yield no(200, "");
                 }
                 if (from != j.kept.length) {
-                    yield no(409, "job '" + j.id + "' has " + j.kept.length + " bytes kept, not " + from);
+                    yield no(
+                            409,
+                            "job '" + j.id + "' has " + j.kept.length + " bytes kept, not " + from);
                 }
                 n.kept = Job.join(j.kept, more);
-                yield n.bytes() > 2 * MOST_BODY ? put(c.atUs, ended(j, Job.State.FAILED, "the result is over the limit", c.atUs), "") : put(c.atUs, n, "");
+                yield n.bytes() > 2 * MOST_BODY
+                        ? put(
+                                c.atUs,
+                                ended(j, Job.State.FAILED, "the result is over the limit", c.atUs),
+                                "")
+                        : put(c.atUs, n, "");
             }
             case JOB_DONE -> {
                 var n = ended(j, Job.State.DONE, "", c.atUs);
@@ -187,7 +226,12 @@
                 n.result = Job.join(j.kept, in.blob());
                 n.kept = new byte[0];
                 n.body = new byte[0];
-                yield n.bytes() > 2 * MOST_BODY ? put(c.atUs, ended(j, Job.State.FAILED, "the result is over the limit", c.atUs), "") : put(c.atUs, n, "");
+                yield n.bytes() > 2 * MOST_BODY
+                        ? put(
+                                c.atUs,
+                                ended(j, Job.State.FAILED, "the result is over the limit", c.atUs),
+                                "")
+                        : put(c.atUs, n, "");
             }
             case JOB_BACK -> back(c, j, in.u8(), in.text());
             default -> no(400, "no such word about a job");
@@ -197,7 +241,14 @@
     private Said start(CoreState.Change c, Job j) {
         if (j.state == Job.State.RUNNING && j.fence < c.base) {
             if (!j.repeatable) {
-                return put(c.atUs, ended(j, Job.State.UNCERTAIN, "its runner was lost and it may have run", c.atUs), "");
+                return put(
+                        c.atUs,
+                        ended(
+                                j,
+                                Job.State.UNCERTAIN,
+                                "its runner was lost and it may have run",
+                                c.atUs),
+                        "");
             }
         } else if (j.state != Job.State.WAITING) {
             return no(409, "job '" + j.id + "' is " + j.state.word());
@@ -207,12 +258,15 @@
         n.fence = c.base;
         n.runs++;
         n.why = "running at " + c.body;
-        var o = new Rec.Out();
+        var o = new Codec.Out();
         n.write(o);
         return put(c.atUs, n, Base64.getEncoder().encodeToString(o.bytes()));
     }
 
-    /** How a run came to nothing: 0 it did not run, 1 it may have run, 2 the replica's answer was a failure. */
+    /**
+     * How a run came to nothing: 0 it did not run, 1 it may have run, 2 the replica's answer was a
+     * failure.
+     */
     private Said back(CoreState.Change c, Job j, int how, String why) {
         if (how == 1 && !j.repeatable) {
             return put(c.atUs, ended(j, Job.State.UNCERTAIN, why, c.atUs), "");
@@ -234,25 +288,54 @@
             if (j.state == Job.State.WAITING && now > j.dueUs) {
                 m.put(j.id, ended(j, Job.State.EXPIRED, "its due time passed while it waited", at));
             } else if (j.state == Job.State.RUNNING && now > j.dueUs + LATE_US) {
-                m.put(j.id, j.repeatable ? ended(j, Job.State.EXPIRED, "its due time passed while it ran", at) : ended(j, Job.State.UNCERTAIN, "no word came from its runner", at));
+                m.put(
+                        j.id,
+                        j.repeatable
+                                ? ended(
+                                        j,
+                                        Job.State.EXPIRED,
+                                        "its due time passed while it ran",
+                                        at)
+                                : ended(
+                                        j,
+                                        Job.State.UNCERTAIN,
+                                        "no word came from its runner",
+                                        at));
             } else if (j.state.live() || now - j.endedUs < RESULT_AGE_US) {
                 m.put(j.id, j);
             }
         }
-        return new Said(200, "", Optional.of(new JobBook(now, m)));
+        return new Said(200, "", Optional.of(new JobTable(now, m)));
     }
 
     private String list(long at) {
         var b = new StringBuilder("{\"Jobs\":[");
-        jobs.values().forEach(j -> b.append(b.charAt(b.length() - 1) == '[' ? "" : ",").append(j.json(Math.max(clockUs, at))));
+        jobs.values()
+                .forEach(
+                        j ->
+                                b.append(b.charAt(b.length() - 1) == '[' ? "" : ",")
+                                        .append(j.json(Math.max(clockUs, at))));
         return b.append("]}").toString();
     }
 
     public String text(long at) {
         var b = new StringBuilder();
         var now = Math.max(clockUs, at);
-        jobs.values().forEach(j -> b.append(String.format("%s %s %s age %d ms slack %d ms runs %d fence %d %s\n", j.id, j.state.word(), j.region,
-            (now - j.submittedUs) / 1000, (j.dueUs - now) / 1000, j.runs, j.fence, j.why)));
+        jobs.values()
+                .forEach(
+                        j ->
+                                b.append(
+                                        String.format(
+                                                "%s %s %s age %d ms slack %d ms runs %d fence %d"
+                                                        + " %s\n",
+                                                j.id,
+                                                j.state.word(),
+                                                j.region,
+                                                (now - j.submittedUs) / 1000,
+                                                (j.dueUs - now) / 1000,
+                                                j.runs,
+                                                j.fence,
+                                                j.why)));
         return b.toString();
     }
 }
--- a/pantry/src/test/java/martenloom/pantry/chain/ChainStormTest.java
+++ b/core/src/test/java/martenloom/core/chain/ChainStormTest.java
@@ -1,26 +1,38 @@
-package martenloom.pantry.chain;
+package martenloom.core.chain;
 
-import static org.junit.jupiter.api.Assertions.*;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.*;
-import martenloom.pantry.state.*;
-import org.junit.jupiter.api.*;
-import org.junit.jupiter.params.*;
-import org.junit.jupiter.params.provider.*;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import martenloom.core.state.CoreState;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * Storms over the chain and its view: a seeded world with delays, drops, cuts, crashes in the middle of a sync, and one
- * wiped disk at a time. Whatever was acknowledged must be there in the end, a base has one winner, and two views never
- * both acknowledge.
+ * Storms over the chain and its view: a seeded world with delays, drops, cuts, crashes in the
+ * middle of a sync, and one wiped disk at a time. Whatever was acknowledged must be there in the
+ * end, a base has one winner, and two views never both acknowledge.
  */
 final class ChainStormTest {
     private static final int N = 5;
 
-    private record Mail(long at, int n, String from, String to, byte[] rec) {}
+    private record Mail(long at, int n, String from, String to, byte[] record) {}
 
     private static final class Node {
         final String ip;
-        Optional<ChainCore.Ledger> disk = Optional.empty();
+        Optional<ChainCore.MemberState> disk = Optional.empty();
         Optional<ChainCore> core = Optional.empty();
         Optional<ChainCore.Store> syncing = Optional.empty();
         long syncedAt;
@@ -34,14 +46,16 @@
     private static final class World {
         final Random rnd;
         final Map<String, Node> nodes = new TreeMap<>();
-        final PriorityQueue<Mail> mails = new PriorityQueue<>(Comparator.<Mail>comparingLong(m -> m.at).thenComparingInt(m -> m.n));
+        final PriorityQueue<Mail> mails =
+                new PriorityQueue<>(
+                        Comparator.<Mail>comparingLong(m -> m.at).thenComparingInt(m -> m.n));
         final Set<String> cut = new HashSet<>();
         final Map<Long, CoreState.Change> asked = new HashMap<>();
         final Map<Long, String> acked = new TreeMap<>();
         final Map<Long, Long> winners = new HashMap<>();
         long now = 1_000_000;
         int mailN;
-        long errand;
+        long request;
         double drop;
         boolean slow = true;
         int bodies;
@@ -53,18 +67,28 @@
                 nodes.put("10.0.0." + i, new Node("10.0.0." + i));
             }
             var seeds = List.copyOf(nodes.keySet()).subList(0, 3);
-            seeds.forEach(s -> nodes.get(s).disk = Optional.of(new ChainCore.Ledger(ChainCore.Ballot.ZERO, ChainCore.Ballot.ZERO, CoreState.founded(seeds))));
+            seeds.forEach(
+                    s ->
+                            nodes.get(s).disk =
+                                    Optional.of(
+                                            new ChainCore.MemberState(
+                                                    ChainCore.Ballot.ZERO,
+                                                    ChainCore.Ballot.ZERO,
+                                                    CoreState.founded(seeds))));
             nodes.values().forEach(this::boot);
         }
 
         void boot(Node n) {
-            n.core = Optional.of(new ChainCore(n.ip, rnd.nextLong(), n.disk, Comparator.naturalOrder(), now));
+            n.core =
+                    Optional.of(
+                            new ChainCore(
+                                    n.ip, rnd.nextLong(), n.disk, Comparator.naturalOrder(), now));
             n.core.get().onKnown(nodes.keySet().stream().filter(x -> !x.equals(n.ip)).toList());
         }
 
         void crash(Node n, boolean wipe) {
             if (n.syncing.isPresent() && rnd.nextBoolean()) {
-                n.disk = Optional.of(n.syncing.get().ledger());
+                n.disk = Optional.of(n.syncing.get().memberState());
             }
             n.syncing = Optional.empty();
             n.core = Optional.empty();
@@ -82,9 +106,15 @@
                         post(n.ip, s);
                     } else if (c instanceof ChainCore.Store s) {
                         n.syncing = Optional.of(s);
-                        n.syncedAt = now + 1000 + rnd.nextInt(slow && rnd.nextInt(40) == 0 ? 3_000_000 : 5000);
-                    } else if (c instanceof ChainCore.Answer a && a.errand() >= 0 && a.status() == 200) {
-                        answered(a.errand());
+                        n.syncedAt =
+                                now
+                                        + 1000
+                                        + rnd.nextInt(
+                                                slow && rnd.nextInt(40) == 0 ? 3_000_000 : 5000);
+                    } else if (c instanceof ChainCore.Answer a
+                            && a.request() >= 0
+                            && a.status() == 200) {
+                        answered(a.request());
                     }
                 }
             }
@@ -94,28 +124,48 @@
             if (rnd.nextDouble() < drop || cut.contains(from + ">" + s.to())) {
                 return;
             }
-            mails.add(new Mail(now + 500 + rnd.nextInt(rnd.nextInt(20) == 0 ? 400_000 : 40_000), mailN++, from, s.to(), s.rec()));
+            mails.add(
+                    new Mail(
+                            now + 500 + rnd.nextInt(rnd.nextInt(20) == 0 ? 400_000 : 40_000),
+                            mailN++,
+                            from,
+                            s.to(),
+                            s.record()));
         }
 
-        void answered(long errand) {
-            var c = asked.get(errand);
+        void answered(long request) {
+            var c = asked.get(request);
             if (c.act != CoreState.Act.REPLACE) {
                 return;
             }
             var before = Optional.ofNullable(acked.put(c.base + 1, c.body));
-            assertTrue(before.isEmpty() || before.get().equals(c.body), "two changes on base " + c.base + " were both acknowledged");
+            assertTrue(
+                    before.isEmpty() || before.get().equals(c.body),
+                    "two changes on base " + c.base + " were both acknowledged");
         }
 
         void ask() {
-            var l = nodes.values().stream().filter(n -> n.core.isPresent() && n.core.get().heading()).toList();
+            var l =
+                    nodes.values().stream()
+                            .filter(n -> n.core.isPresent() && n.core.get().heading())
+                            .toList();
             if (l.isEmpty()) {
                 return;
             }
             var n = l.get(rnd.nextInt(l.size()));
             var base = n.core.get().committed().revision;
-            var c = new CoreState.Change(CoreState.Act.REPLACE, base, "", "{\"Revision\":" + (base + 1) + ",\"Routes\":[],\"Backends\":[],\"Note\":" + bodies++ + "}");
-            asked.put(++errand, c);
-            n.core.get().onAsk(now, errand, c);
+            var c =
+                    new CoreState.Change(
+                            CoreState.Act.REPLACE,
+                            base,
+                            "",
+                            "{\"Revision\":"
+                                    + (base + 1)
+                                    + ",\"Routes\":[],\"Backends\":[],\"Note\":"
+                                    + bodies++
+                                    + "}");
+            asked.put(++request, c);
+            n.core.get().onAsk(now, request, c);
             carryOut(n);
         }
 
@@ -125,7 +175,7 @@
                 var m = mails.poll();
                 var n = nodes.get(m.to);
                 if (n.core.isPresent() && !cut.contains(m.from + ">" + m.to)) {
-                    n.core.get().onRecord(now, m.from, m.rec);
+                    n.core.get().onRecord(now, m.from, m.record);
                     carryOut(n);
                 }
             }
@@ -136,7 +186,7 @@
                 if (n.core.isPresent() && n.syncing.isPresent() && now >= n.syncedAt) {
                     var s = n.syncing.get();
                     n.syncing = Optional.empty();
-                    n.disk = Optional.of(s.ledger());
+                    n.disk = Optional.of(s.memberState());
                     n.core.get().onStored(now, s.token());
                     carryOut(n);
                 }
@@ -145,7 +195,9 @@
                     carryOut(n);
                 }
             }
-            if (!wiped.isEmpty() && nodes.get(wiped).core.isPresent() && nodes.get(wiped).core.get().mode() != ChainCore.Mode.LEARNING) {
+            if (!wiped.isEmpty()
+                    && nodes.get(wiped).core.isPresent()
+                    && nodes.get(wiped).core.get().mode() != ChainCore.Mode.LEARNING) {
                 wiped = "";
             }
         }
@@ -156,7 +208,17 @@
             switch (rnd.nextInt(6)) {
                 case 0 -> {
                     if (n.core.isPresent()) {
-                        crash(n, wiped.isEmpty() && rnd.nextBoolean() && nodes.values().stream().allMatch(x -> x.core.isPresent() && x.core.get().mode() != ChainCore.Mode.LEARNING));
+                        crash(
+                                n,
+                                wiped.isEmpty()
+                                        && rnd.nextBoolean()
+                                        && nodes.values().stream()
+                                                .allMatch(
+                                                        x ->
+                                                                x.core.isPresent()
+                                                                        && x.core.get().mode()
+                                                                                != ChainCore.Mode
+                                                                                        .LEARNING));
                     }
                 }
                 case 1 -> {
@@ -169,21 +231,33 @@
                 }
                 case 2 -> cut.clear();
                 case 3 -> drop = rnd.nextDouble() * 0.2;
-                case 4 -> nodes.values().forEach(x -> {
-                    if (x.core.isPresent() && rnd.nextInt(3) > 0) {
-                        crash(x, false);
-                    }
-                });
+                case 4 ->
+                        nodes.values()
+                                .forEach(
+                                        x -> {
+                                            if (x.core.isPresent() && rnd.nextInt(3) > 0) {
+                                                crash(x, false);
+                                            }
+                                        });
                 default -> drop = 0;
             }
         }
 
         boolean grown() {
-            return nodes.values().stream().anyMatch(n -> n.core.isPresent() && n.core.get().heading() && n.core.get().committed().roster.size() == N);
+            return nodes.values().stream()
+                    .anyMatch(
+                            n ->
+                                    n.core.isPresent()
+                                            && n.core.get().heading()
+                                            && n.core.get().committed().roster.size() == N);
         }
 
         ChainCore head() {
-            return nodes.values().stream().flatMap(n -> n.core.stream()).filter(ChainCore::heading).findFirst().orElseThrow();
+            return nodes.values().stream()
+                    .flatMap(n -> n.core.stream())
+                    .filter(ChainCore::heading)
+                    .findFirst()
+                    .orElseThrow();
         }
 
         void heal() {
@@ -207,11 +281,16 @@
         var t0 = w.now;
         while (w.now < t0 + 6_000_000) {
             w.step();
-            assertTrue(n.core.get().staleUs(w.now) > w.now - t0 - 500_000, "bidding in vain is not news");
+            assertTrue(
+                    n.core.get().staleUs(w.now) > w.now - t0 - 500_000,
+                    "bidding in vain is not news");
         }
     }
 
-    /** Two daemons that are long gone: while four must stay nobody is taken off; when three are enough, both are, one by one. */
+    /**
+     * Two daemons that are long gone: while four must stay nobody is taken off; when three are
+     * enough, both are, one by one.
+     */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
     void aMemberLongGoneIsTakenOffOneAtATimeAndNeverBelowWhatIsNeeded(long seed) {
@@ -223,13 +302,17 @@
         for (var i = 0; i < 2000; i++) {
             w.step();
         }
-        assertTrue(w.nodes.values().stream().noneMatch(n -> n.core.get().mode() == ChainCore.Mode.LEARNING), "who is new has learned");
+        assertTrue(
+                w.nodes.values().stream()
+                        .noneMatch(n -> n.core.get().mode() == ChainCore.Mode.LEARNING),
+                "who is new has learned");
         w.nodes.values().forEach(n -> n.core.get().onLeastRoster(4));
         var gone = w.nodes.values().stream().filter(x -> !x.core.get().heading()).limit(2).toList();
-        gone.forEach(n -> {
-            w.crash(n, false);
-            n.upAt = Long.MAX_VALUE;
-        });
+        gone.forEach(
+                n -> {
+                    w.crash(n, false);
+                    n.upAt = Long.MAX_VALUE;
+                });
         var t0 = w.now;
         while (w.now < t0 + ChainCore.GONE_US - 5_000_000) {
             w.step();
@@ -238,7 +321,8 @@
         while (w.now < t0 + 2 * ChainCore.GONE_US) {
             w.step();
         }
-        assertEquals(N, w.head().committed().roster.size(), "three in the chain are fewer than four");
+        assertEquals(
+                N, w.head().committed().roster.size(), "three in the chain are fewer than four");
         w.nodes.values().forEach(n -> n.core.ifPresent(c -> c.onLeastRoster(3)));
         while (w.now < t0 + 4 * ChainCore.GONE_US) {
             w.step();
@@ -262,7 +346,11 @@
     }
 
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24})
+    @ValueSource(
+            longs = {
+                1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23,
+                24
+            })
     void whatWasAcknowledgedStays(long seed) {
         var w = new World(seed);
         for (var i = 0; i < 8000 && !w.grown(); i++) {
@@ -282,16 +370,28 @@
         for (var i = 0; i < 3000; i++) {
             w.step();
         }
-        var heads = w.nodes.values().stream().filter(n -> n.core.isPresent() && n.core.get().heading()).toList();
+        var heads =
+                w.nodes.values().stream()
+                        .filter(n -> n.core.isPresent() && n.core.get().heading())
+                        .toList();
         assertEquals(1, heads.size(), "one head when calm");
         var s = heads.get(0).core.get().committed();
         assertFalse(w.acked.isEmpty(), "something was acknowledged");
         var newest = Collections.max(w.acked.keySet());
-        assertTrue(s.revision >= newest, "revision " + s.revision + " is behind the acknowledged " + newest);
+        assertTrue(
+                s.revision >= newest,
+                "revision " + s.revision + " is behind the acknowledged " + newest);
         if (s.revision == newest) {
             assertEquals(w.acked.get(newest), s.json);
         }
-        w.nodes.values().forEach(n -> assertEquals(s.revision, n.core.get().committed().revision, "all members know the newest"));
+        w.nodes
+                .values()
+                .forEach(
+                        n ->
+                                assertEquals(
+                                        s.revision,
+                                        n.core.get().committed().revision,
+                                        "all members know the newest"));
         var many = w.acked.size();
         for (var i = 0; i < 1000 && w.acked.size() == many; i++) {
             if (i % 200 == 0) {
--- /dev/null
+++ b/core/src/test/java/martenloom/core/chain/ProofTest.java
@@ -0,0 +1,136 @@
+package martenloom.core.chain;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import martenloom.core.state.CoreState;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Answers that write nothing share one round of the chain, and none is given by a head that was cut
+ * off meanwhile.
+ */
+final class ProofTest {
+    private static final long HOP_US = 40_000;
+    private static final long STEP_US = 5_000;
+
+    private record Mail(long at, String from, String to, byte[] record) {}
+
+    private final Map<String, ChainCore> all = new TreeMap<>();
+    private final Deque<Mail> mails = new ArrayDeque<>();
+    private final Map<Long, Integer> answers = new TreeMap<>();
+    private final Set<String> cut = new HashSet<>();
+    private long now = 1_000_000;
+
+    private void drain(String ip) {
+        for (var l = all.get(ip).drain(); !l.isEmpty(); l = all.get(ip).drain()) {
+            for (var c : l) {
+                if (c instanceof ChainCore.Send s && all.containsKey(s.to())) {
+                    mails.add(new Mail(now + HOP_US, ip, s.to(), s.record()));
+                } else if (c instanceof ChainCore.Store s) {
+                    all.get(ip).onStored(now, s.token());
+                } else if (c instanceof ChainCore.Answer a) {
+                    answers.put(a.request(), a.status());
+                }
+            }
+        }
+    }
+
+    private void step() {
+        now += STEP_US;
+        while (!mails.isEmpty() && mails.peek().at <= now) {
+            var m = mails.poll();
+            if (!cut.contains(m.from) && !cut.contains(m.to)) {
+                all.get(m.to).onRecord(now, m.from, m.record);
+                drain(m.to);
+            }
+        }
+        all.forEach(
+                (ip, c) -> {
+                    c.onTick(now);
+                    drain(ip);
+                });
+    }
+
+    private String head() {
+        var names = List.of("10.0.0.1", "10.0.0.2", "10.0.0.3");
+        names.forEach(
+                n ->
+                        all.put(
+                                n,
+                                new ChainCore(
+                                        n,
+                                        n.hashCode(),
+                                        Optional.of(
+                                                new ChainCore.MemberState(
+                                                        ChainCore.Ballot.ZERO,
+                                                        ChainCore.Ballot.ZERO,
+                                                        CoreState.founded(names))),
+                                        Comparator.naturalOrder(),
+                                        now)));
+        for (var i = 0; i < 2000; i++) {
+            step();
+        }
+        return names.stream().filter(n -> all.get(n).heading()).findFirst().orElseThrow();
+    }
+
+    private void ask(String head, long request, CoreState.Act a, String body) {
+        all.get(head).onAsk(now, request, new CoreState.Change(a, 0, "", body));
+        drain(head);
+    }
+
+    @Test
+    void manyAnswersThatWriteNothingTakeOneRoundAndKeepNoWriteWaiting() {
+        var h = head();
+        var t0 = now;
+        for (var i = 1; i <= 40; i++) {
+            ask(h, i, CoreState.Act.READ, "");
+        }
+        ask(h, 41, CoreState.Act.REPLACE, "{\"Revision\":1,\"Routes\":[],\"Backends\":[]}");
+        for (var i = 42; i <= 80; i++) {
+            ask(
+                    h,
+                    i,
+                    CoreState.Act.REPLACE,
+                    "{\"Revision\":1,\"Routes\":[],\"Backends\":[],\"Note\":" + i + "}");
+        }
+        while (answers.size() < 80 && now - t0 < 60_000_000) {
+            step();
+        }
+        assertEquals(80, answers.size());
+        assertTrue(
+                now - t0 <= 3 * (4 * HOP_US + 4 * STEP_US),
+                "a round of proof, the write, and another round: " + (now - t0) + " us");
+        assertEquals(200, answers.get(41L));
+        assertEquals(
+                39,
+                answers.entrySet().stream()
+                        .filter(e -> e.getKey() > 41 && e.getValue() == 412)
+                        .count(),
+                "one winner");
+    }
+
+    @Test
+    void aHeadThatWasCutOffGivesNone() {
+        var h = head();
+        cut.add(h);
+        ask(h, 1, CoreState.Act.READ, "");
+        for (var i = 0; i < 2000; i++) {
+            step();
+        }
+        assertEquals(503, answers.get(1L));
+        assertTrue(
+                all.entrySet().stream()
+                        .anyMatch(e -> !e.getKey().equals(h) && e.getValue().heading()),
+                "another heads the rest");
+    }
+}
--- a/pantry/src/test/java/martenloom/pantry/tally/TallyDeskTest.java
+++ b/core/src/test/java/martenloom/core/load/LoadAggregatorTest.java
@@ -1,18 +1,23 @@
-package martenloom.pantry.tally;
+package martenloom.core.load;
 
-import static org.junit.jupiter.api.Assertions.*;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.*;
-import martenloom.galley.record.*;
-import martenloom.galley.tally.*;
-import org.junit.jupiter.api.*;
+import java.util.List;
+import martenloom.common.codec.Codec;
+import martenloom.common.load.LoadSummary;
+import org.junit.jupiter.api.Test;
 
-/** Parts of edges add up once each; what is late, repeated, of a former life or lapsed does not count. */
-final class TallyDeskTest {
-    private final TallyDesk d = new TallyDesk();
+/**
+ * Parts of edges add up once each; what is late, repeated, of a former life or lapsed does not
+ * count.
+ */
+final class LoadAggregatorTest {
+    private final LoadAggregator d = new LoadAggregator();
 
-    private static Tally part(int inHand, int flights) {
-        var t = Tally.ofEdge();
+    private static LoadSummary part(int inHand, int flights) {
+        var t = LoadSummary.ofEdge();
         t.put("r", inHand, inHand * 100, false);
         for (var i = 0; i < flights; i++) {
             t.fly("north/m");
@@ -28,8 +33,10 @@
     void partsAddUpAndComeBackWhole() {
         assertTrue(d.take("e1", 1, 1, part(3, 4), 0));
         assertTrue(d.take("e2", 9, 1, part(2, 1), 0));
-        assertTrue(d.takeHome("h2", 5, 1, new Tally().add(part(5, 2)).add(part(1, 1)), 0));
-        var w = Tally.read(new Rec.In(d.whole(d.own(0), 0).write(new Rec.Out()).bytes(), false));
+        assertTrue(d.takeHome("h2", 5, 1, new LoadSummary().add(part(5, 2)).add(part(1, 1)), 0));
+        var w =
+                LoadSummary.read(
+                        new Codec.In(d.whole(d.own(0), 0).write(new Codec.Out()).bytes(), false));
         assertEquals(11, w.load("r").inHand);
         assertEquals(1100, w.load("r").unread);
         assertEquals(8, w.flights().get("north/m"));
@@ -55,7 +62,7 @@
         d.takeHome("h2", 1, 1, part(7, 0), 1_500_000);
         assertEquals(12, whole(1_900_000));
         assertEquals(9, whole(2_500_000), "the first edge was not heard");
-        assertEquals(2, whole(3_100_000), "the sibling home neither");
+        assertEquals(2, whole(3_100_000), "the peer home neither");
         d.lapse("e2");
         assertEquals(0, whole(3_100_000));
         assertTrue(d.take("e2", 1, 2, part(2, 0), 3_200_000), "the same life may come back");
@@ -65,11 +72,12 @@
     void placesGoEachWayOnceAndOnlyOwnOnesGoOn() {
         d.place("p1", "r1", true);
         d.place("p2", "r2", false);
-        for (var w : TallyDesk.Way.values()) {
-            var o = new Rec.Out();
+        for (var w : LoadAggregator.Way.values()) {
+            var o = new Codec.Out();
             d.writePlaces(o, w);
-            var l = new Rec.In(o.bytes(), false).list(x -> x.text() + x.text());
-            assertEquals(w == TallyDesk.Way.EDGES ? List.of("p1r1", "p2r2") : List.of("p1r1"), l);
+            var l = new Codec.In(o.bytes(), false).list(x -> x.text() + x.text());
+            assertEquals(
+                    w == LoadAggregator.Way.EDGES ? List.of("p1r1", "p2r2") : List.of("p1r1"), l);
         }
         assertFalse(d.hasPlaces());
     }
--- a/pantry/src/test/java/martenloom/pantry/state/ScaleOrderTest.java
+++ b/core/src/test/java/martenloom/core/state/ScaleOrderTest.java
@@ -1,21 +1,32 @@
-package martenloom.pantry.state;
+package martenloom.core.state;
 
-import static org.junit.jupiter.api.Assertions.*;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.*;
-import martenloom.menu.placement.*;
-import org.junit.jupiter.api.*;
+import java.util.List;
+import java.util.Set;
+import martenloom.routing.placement.Placement;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 
-/** Orders of scalers and of the operator as the chain decides them: the fence, the operator's word, and the placement check. */
+/**
+ * Orders of scalers and of the operator as the chain decides them: the fence, the operator's word,
+ * and the placement check.
+ */
 final class ScaleOrderTest {
-    private static final String SETUP = "{\"Revision\":1,\"Routes\":[{\"Name\":\"r\",\"Hostname\":\"h.example\",\"PathPrefix\":\"/r/\",\"RouteType\":\"streaming\",\"TimeoutMs\":8000,\"TargetLatencyMs\":800,"
-        + "\"Priority\":0,\"Backend\":\"s\",\"MaxAttempts\":2,\"SessionAffinity\":true,\"Resumable\":true,\"TargetGapMs\":800,\"AllowedRegions\":[]}],"
-        + "\"Backends\":[{\"Name\":\"s\",\"HealthPath\":\"/h\",\"MaxConnections\":60,\"WarmupS\":1.0,\"WarmupPerS\":8.0,\"InferenceEngine\":{\"Capacity\":8,\"CacheTokens\":100000,\"Models\":[{\"Name\":\"m\"}]}}]}";
+    private static final String CONFIGURATION =
+            "{\"Revision\":1,\"Routes\":[{\"Name\":\"r\",\"Hostname\":\"h.example\",\"PathPrefix\":\"/r/\",\"RouteType\":\"streaming\",\"TimeoutMs\":8000,\"TargetLatencyMs\":800,"
+                + "\"Priority\":0,\"Backend\":\"s\",\"MaxAttempts\":2,\"SessionAffinity\":true,\"Resumable\":true,\"TargetGapMs\":800,\"AllowedRegions\":[]}],"
+                + "\"Backends\":[{\"Name\":\"s\",\"HealthPath\":\"/h\",\"MaxConnections\":60,\"WarmupS\":1.0,\"WarmupPerS\":8.0,\"InferenceEngine\":{\"Capacity\":8,\"CacheTokens\":100000,\"Models\":[{\"Name\":\"m\"}]}}]}";
     private CoreState s = CoreState.founded(List.of("a"));
     private final Placement runs = new Placement();
 
     private CoreState.Outcome go(CoreState.Act a, long base, String subject, String body) {
-        var o = s.decide(new CoreState.Change(a, base, subject, body).surveyed(a.ofPlacement() ? runs.text() : ""));
+        var o =
+                s.decide(
+                        new CoreState.Change(a, base, subject, body)
+                                .surveyed(a.ofPlacement() ? runs.text() : ""));
         s = o.next.orElse(s);
         return o;
     }
@@ -26,7 +37,7 @@
 
     @BeforeEach
     void open() {
-        assertEquals(200, go(CoreState.Act.REPLACE, 0, "", SETUP).status);
+        assertEquals(200, go(CoreState.Act.REPLACE, 0, "", CONFIGURATION).status);
         runs.put("s", "north", "n1");
         runs.put("s", "north", "n2");
         runs.put("s", "south", "s1");
@@ -42,7 +53,10 @@
         assertEquals(409, late.status);
         assertTrue(late.text.startsWith("fence: grant " + old), late.text);
         assertEquals(Set.of("n2"), s.scales.get("north/m").resting(), "nothing is kept of it");
-        assertEquals(409, go(CoreState.Act.SCALE, young, "south/m", "1").status, "a duty of another region gives no right here");
+        assertEquals(
+                409,
+                go(CoreState.Act.SCALE, young, "south/m", "1").status,
+                "a duty of another region gives no right here");
         assertEquals(200, go(CoreState.Act.SCALE, young, "north/m", "all").status);
         assertFalse(s.scales.containsKey("north/m"));
     }
@@ -52,7 +66,13 @@
         runs.put("s", "west", "w1");
         var n = grant("north", "edge1#1");
         var q = grant("south", "edge3#1");
-        assertEquals(200, s.decide(new CoreState.Change(CoreState.Act.SCALE, q, "south/m", "0\ns1").surveyed(runs.text())).status, "safe alone");
+        assertEquals(
+                200,
+                s.decide(
+                                new CoreState.Change(CoreState.Act.SCALE, q, "south/m", "0\ns1")
+                                        .surveyed(runs.text()))
+                        .status,
+                "safe alone");
         assertEquals(200, go(CoreState.Act.SCALE, n, "north/m", "0\nn1\nn2").status, "safe alone");
         var e = s.edition;
         var o = go(CoreState.Act.SCALE, q, "south/m", "0\ns1");
@@ -69,7 +89,10 @@
         var o = go(CoreState.Act.SCALE, n, "north/m", "2");
         assertEquals(409, o.status);
         assertTrue(o.text.startsWith("pinned"), o.text);
-        assertEquals(200, go(CoreState.Act.PLACE, 0, "north/m", "unload").status, "the same again is acknowledged again");
+        assertEquals(
+                200,
+                go(CoreState.Act.PLACE, 0, "north/m", "unload").status,
+                "the same again is acknowledged again");
         assertEquals(200, go(CoreState.Act.PLACE, 0, "north/m", "load").status);
         assertEquals(200, go(CoreState.Act.SCALE, n, "north/m", "1\nn1").status);
     }
--- a/pantry/src/test/java/martenloom/pantry/disk/ShelfTest.java
+++ b/core/src/test/java/martenloom/core/storage/VersionedStoreTest.java
@@ -1,18 +1,24 @@
-package martenloom.pantry.disk;
+package martenloom.core.storage;
 
-import static org.junit.jupiter.api.Assertions.*;
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.nio.charset.*;
-import java.nio.file.*;
-import java.util.*;
-import martenloom.galley.fault.*;
-import org.junit.jupiter.api.*;
-import org.junit.jupiter.api.io.*;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import martenloom.common.error.Fault;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
-/** The shelf over a stand-in disk that loses and tears what was not synced, and over a real folder. */
-final class ShelfTest {
+/**
+ * The store over a stand-in disk that loses and tears what was not synced, and over a real folder.
+ */
+final class VersionedStoreTest {
     /** Names become lasting with the folder's sync; a loss of power undoes what was not. */
-    private static final class StandIn implements Shelf.Folder {
+    private static final class StandInReplica implements VersionedStore.Folder {
         private final Map<String, byte[]> now = new TreeMap<>();
         private Map<String, byte[]> lasting = new TreeMap<>();
         private int refuse;
@@ -55,7 +61,7 @@
             now.clear();
             now.putAll(lasting);
             if (tear) {
-                now.put("ledger-00000000000000ff", new byte[] {0, 0, 0, 9, 1});
+                now.put("member-00000000000000ff", new byte[] {0, 0, 0, 9, 1});
             }
         }
     }
@@ -66,47 +72,47 @@
 
     @Test
     void theNewestWholeVersionComesBackAfterALossOfPower() {
-        var f = new StandIn();
-        var s = new Shelf(f);
+        var f = new StandInReplica();
+        var s = new VersionedStore(f);
         s.keep(b("one"));
         s.keep(b("two"));
         f.losePower(true);
-        assertArrayEquals(b("two"), new Shelf(f).load().get());
+        assertArrayEquals(b("two"), new VersionedStore(f).load().get());
     }
 
     @Test
     void anEmptyFolderGivesNothingAndARefusedWriteIsTriedAgain() throws Exception {
-        var f = new StandIn();
-        assertTrue(new Shelf(f).load().isEmpty());
+        var f = new StandInReplica();
+        assertTrue(new VersionedStore(f).load().isEmpty());
         f.refuse = 2;
         var done = new java.util.concurrent.CountDownLatch(1);
-        new Shelf(f).keepLater(() -> b("late"), done::countDown);
+        new VersionedStore(f).keepLater(() -> b("late"), done::countDown);
         assertTrue(done.await(10, java.util.concurrent.TimeUnit.SECONDS));
-        assertArrayEquals(b("late"), new Shelf(f).load().get());
+        assertArrayEquals(b("late"), new VersionedStore(f).load().get());
     }
 
     @Test
-    void aNoteIsKeptBesideTheLedgerAndATornOneIsNone() throws Exception {
-        var f = new StandIn();
-        var s = new Shelf(f);
+    void aNoteIsKeptBesideTheMemberStateAndATornOneIsNone() throws Exception {
+        var f = new StandInReplica();
+        var s = new VersionedStore(f);
         s.keep(b("one"));
         var done = new java.util.concurrent.CountDownLatch(1);
         s.noteLater("replicas", b("who"));
         s.keepLater(() -> b("two"), done::countDown);
         assertTrue(done.await(10, java.util.concurrent.TimeUnit.SECONDS));
-        assertArrayEquals(b("who"), new Shelf(f).note("replicas").get());
-        assertArrayEquals(b("two"), new Shelf(f).load().get());
+        assertArrayEquals(b("who"), new VersionedStore(f).note("replicas").get());
+        assertArrayEquals(b("two"), new VersionedStore(f).load().get());
         f.now.put("replicas", new byte[] {1, 2, 3});
-        assertTrue(new Shelf(f).note("replicas").isEmpty());
+        assertTrue(new VersionedStore(f).note("replicas").isEmpty());
     }
 
     @Test
     void aRealFolderKeepsOneFileAVersion(@TempDir Path dir) {
-        var s = new Shelf(new Shelf.RealFolder(dir.resolve("a").toString()));
+        var s = new VersionedStore(new VersionedStore.RealFolder(dir.resolve("a").toString()));
         s.keep(b("one"));
         s.keep(b("two"));
-        var f = new Shelf.RealFolder(dir.resolve("a").toString());
+        var f = new VersionedStore.RealFolder(dir.resolve("a").toString());
         assertEquals(1, f.names().size());
-        assertArrayEquals(b("two"), new Shelf(f).load().get());
+        assertArrayEquals(b("two"), new VersionedStore(f).load().get());
     }
 }
--- /dev/null
+++ b/edge/src/main/java/martenloom/edge/LoadView.java
@@ -0,0 +1,100 @@
+package martenloom.edge;
+
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.Optional;
+import martenloom.common.codec.Codec;
+import martenloom.common.fleet.FleetRecords;
+import martenloom.common.load.LoadSummary;
+import martenloom.edge.dispatch.RequestDispatcher;
+import martenloom.edge.replica.ReplicaTable;
+
+/**
+ * This edge's side of the sums: writes its own part for the home when it has changed, and turns a
+ * whole that comes back into what the others have, by taking away the part of ours that the whole
+ * names. Doubts are taken from the edges of our zone only: those elsewhere may be cut off from a
+ * replica that is well and in our reach.
+ */
+final class LoadView {
+    private static final int TOLD = 32;
+    private static final int QUIET_TURNS = 5;
+    private static final long HEARD_US = 250_000;
+
+    private final ReplicaTable replicaTable;
+    private final RequestDispatcher dispatcher;
+    private final String ip;
+    private final long life;
+    private final LinkedHashMap<Long, LoadSummary> told = new LinkedHashMap<>();
+    private byte[] last = new byte[0];
+    private long seq;
+    private int quiet;
+    private LoadSummary whole = new LoadSummary();
+    private long wholeUs;
+
+    LoadView(ReplicaTable r, RequestDispatcher f, String ip, long life) {
+        replicaTable = r;
+        dispatcher = f;
+        this.ip = ip;
+        this.life = life;
+    }
+
+    /** The sum over all edges that came last. */
+    LoadSummary whole() {
+        return whole;
+    }
+
+    long wholeUs() {
+        return wholeUs;
+    }
+
+    Optional<byte[]> part(long now) {
+        var t = LoadSummary.ofEdge();
+        for (var s : replicaTable.all()) {
+            var doubt = s.suspectUntilUs > now && s.doubtful || s.wondering;
+            var bad = s.health.bad(now);
+            var ok = s.health.ok(now);
+            if (s.mine > 0 || doubt || bad + ok > 0) {
+                var l = t.put(s.row.id, s.mine, s.unread, doubt);
+                l.ok = ok;
+                l.bad = bad;
+                l.heard = !doubt && now - s.heardUs < HEARD_US ? 1 : 0;
+            }
+        }
+        dispatcher.inFlight(t);
+        var b = t.write(new Codec.Out()).bytes();
+        if (Arrays.equals(b, last) && dispatcher.places.told() && ++quiet < QUIET_TURNS) {
+            return Optional.empty();
+        }
+        quiet = 0;
+        last = b;
+        told.put(++seq, t);
+        if (told.size() > TOLD) {
+            told.remove(told.keySet().iterator().next());
+        }
+        var o = t.write(new Codec.Out(FleetRecords.SAMPLE).text(ip).i64(life).i64(seq));
+        dispatcher.places.write(o);
+        return Optional.of(o.bytes());
+    }
+
+    void onWhole(Codec.In in, long now) {
+        var mine = told.getOrDefault(in.i64(), new LoadSummary());
+        whole = LoadSummary.read(in);
+        wholeUs = now;
+        dispatcher.places.read(in);
+        var zone = LoadSummary.read(in);
+        for (var s : replicaTable.all()) {
+            var a = whole.load(s.row.id);
+            var m = mine.load(s.row.id);
+            var h = zone.load(s.row.id);
+            s.others(
+                    a.inHand - m.inHand,
+                    a.unread - m.unread,
+                    h.doubts - m.doubts,
+                    h.heard - m.heard,
+                    now);
+            if (a.bad > 0) {
+                replicaTable.judge(s, a.ok, a.bad, h.ok, h.bad, now);
+            }
+        }
+    }
+}
--- a/newsstand/src/main/java/martenloom/newsstand/budget/RetryPurse.java
+++ b/edge/src/main/java/martenloom/edge/budget/RetryBudget.java
@@ -1,17 +1,20 @@
-package martenloom.newsstand.budget;
+package martenloom.edge.budget;
 
-import java.util.*;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
 
 /**
- * This edge's share of the budget that all daemons hold in common for further legs. The share needs no talk: the ratio
- * is taken of the errands this edge itself had for a service, and the slack is divided by the most edges ever known, so
- * the sum keeps the rule when edges cannot hear each other.
+ * This edge's share of the budget that all daemons hold in common for further attempts. The share
+ * needs no talk: the ratio is taken of the requests this edge itself had for a service, and the
+ * slack is divided by the most edges ever known, so the sum keeps the rule when edges cannot hear
+ * each other.
  */
-public final class RetryPurse {
+public final class RetryBudget {
     private static final int SLICES = 20;
 
     private static final class Window {
-        final int[] errands = new int[SLICES];
+        final int[] requests = new int[SLICES];
         final int[] repeats = new int[SLICES];
         long slice = -1;
     }
@@ -21,7 +24,7 @@
     private final long sliceUs;
     private final Map<String, Window> windows = new HashMap<>();
 
-    public RetryPurse(double ratio, double windowS, double slack) {
+    public RetryBudget(double ratio, double windowS, double slack) {
         this.ratio = ratio;
         this.slack = slack;
         sliceUs = Math.max(1, (long) (windowS * 1_000_000 / (SLICES - 1)));
@@ -31,22 +34,22 @@
         var w = windows.computeIfAbsent(service, k -> new Window());
         var s = now / sliceUs;
         for (var i = Math.max(w.slice + 1, s - SLICES + 1); i <= s; i++) {
-            w.errands[(int) (i % SLICES)] = 0;
+            w.requests[(int) (i % SLICES)] = 0;
             w.repeats[(int) (i % SLICES)] = 0;
         }
         w.slice = s;
         return w;
     }
 
-    public void errand(String service, long now) {
+    public void request(String service, long now) {
         var w = at(service, now);
-        w.errands[(int) (w.slice % SLICES)]++;
+        w.requests[(int) (w.slice % SLICES)]++;
     }
 
-    /** Takes one further leg out of the purse, if it is there. */
+    /** Takes one further attempt out of the budget, if it is there. */
     public boolean spend(String service, int edges, long now) {
         var w = at(service, now);
-        var e = Arrays.stream(w.errands).sum();
+        var e = Arrays.stream(w.requests).sum();
         var r = Arrays.stream(w.repeats).sum();
         if (r + 1 > e * ratio * 0.7 + Math.floor(slack * 0.9 / Math.max(1, edges))) {
             return false;
--- a/newsstand/src/main/java/martenloom/newsstand/floor/Leg.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/Attempt.java
@@ -1,43 +1,67 @@
-package martenloom.newsstand.floor;
+package martenloom.edge.dispatch;
 
-import io.activej.net.socket.tcp.*;
-import io.activej.reactor.net.*;
-import java.io.*;
-import java.nio.charset.*;
-import java.util.*;
-import martenloom.galley.clock.*;
-import martenloom.newsstand.head.*;
-import martenloom.newsstand.rack.*;
+import io.activej.net.socket.tcp.TcpSocket;
+import io.activej.reactor.net.SocketSettings;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.Optional;
+import martenloom.common.clock.Clocks;
+import martenloom.edge.http.Head;
+import martenloom.edge.replica.ReplicaTable;
 
 /**
- * One leg of an errand at one replica: opens or takes a connection, sends the errand, and turns the answer into events
- * for the floor. What came to nothing is told by how far it got, for that decides whether another leg is allowed.
+ * One attempt of an request at one replica: opens or takes a connection, sends the request, and
+ * turns the answer into events for the dispatcher. What came to nothing is told by how far it got,
+ * for that decides whether another attempt is allowed.
  */
-public final class Leg {
-    public enum State { OPENING, SENT, ANSWERING, OVER }
+public final class Attempt {
+    /** How far an attempt has come; exactly one at any time. */
+    public enum State {
+        OPENING,
+        SENT,
+        ANSWERING,
+        OVER
+    }
 
-    /** How a leg failed: never sent; turned away unrun; perhaps run; cut in the middle of a stream. */
-    public enum Failure { UNSENT, UNRUN, MAYBE_RUN, CUT }
+    /**
+     * How a attempt failed: never sent; turned away unrun; perhaps run; cut in the middle of a
+     * stream.
+     */
+    public enum Failure {
+        UNSENT,
+        UNRUN,
+        MAYBE_RUN,
+        CUT
+    }
 
+    /** Is told what becomes of an attempt. */
     public interface Owner {
-        void onStreamHead(Leg l, Head h);
+        void onStreamHead(Attempt l, Head h);
 
-        void onEvents(Leg l, byte[] b, String lastId);
+        void onEvents(Attempt l, byte[] b, String lastId);
 
-        void onStreamEnd(Leg l, byte[] rest);
+        void onStreamEnd(Attempt l, byte[] rest);
 
-        void onWhole(Leg l, Head h, byte[] body);
+        void onWhole(Attempt l, Head h, byte[] body);
 
-        void onFailed(Leg l, Failure f, Optional<Head> h);
+        void onFailed(Attempt l, Failure f, Optional<Head> h);
     }
 
-    private static final SocketSettings SOCKET = SocketSettings.builder().withTcpNoDelay(true).build();
-    /** What may run only once goes on a connection that was used just now, or on a new one: an old one may have been forgotten. */
+    private static final SocketSettings SOCKET =
+            SocketSettings.builder().withTcpNoDelay(true).build();
+
+    /**
+     * What may run only once goes on a connection that was used just now, or on a new one: an old
+     * one may have been forgotten.
+     */
     private static final long ONCE_IDLE_US = 2_000_000;
+
     private static final byte[] NONE = new byte[0];
 
-    public final Errand errand;
-    public final Rack.Slot slot;
+    public final Request request;
+    public final ReplicaTable.Slot slot;
     private final Owner owner;
     public final int unread;
     public int aheadTokens;
@@ -47,15 +71,15 @@
     public long startUs;
     public boolean counted = true;
     private State state = State.OPENING;
-    private Optional<ReplicaWire> wire = Optional.empty();
+    private Optional<ReplicaConnection> wire = Optional.empty();
     private Optional<Head> head = Optional.empty();
     private boolean stream;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream(256);
     private byte[] pend = NONE;
     private long after = -1;
 
-    public Leg(Errand e, Rack.Slot s, int unread, Owner o) {
-        errand = e;
+    public Attempt(Request e, ReplicaTable.Slot s, int unread, Owner o) {
+        request = e;
         slot = s;
         owner = o;
         this.unread = unread;
@@ -73,7 +97,11 @@
         startUs = Clocks.nowUs();
         while (!slot.idle.isEmpty()) {
             var w = slot.idle.pollFirst();
-            if (w.usable(startUs) && w.idleUs(startUs) < (errand.route.repeatable() ? slot.idleTrustUs() : Math.min(ONCE_IDLE_US, slot.idleTrustUs()))) {
+            if (w.usable(startUs)
+                    && w.idleUs(startUs)
+                            < (request.route.repeatable()
+                                    ? slot.idleTrustUs()
+                                    : Math.min(ONCE_IDLE_US, slot.idleTrustUs()))) {
                 wire = Optional.of(w);
                 send(w);
                 return;
@@ -81,46 +109,57 @@
             w.close();
         }
         slot.open++;
-        TcpSocket.connect(loop, slot.address, connectMs, SOCKET).subscribe((s, x) -> {
-            if (x != null) {
-                slot.open--;
-                fail(Failure.UNSENT);
-            } else if (state != State.OPENING) {
-                slot.open--;
-                s.close();
-            } else {
-                var rtt = Clocks.nowUs() - startUs;
-                slot.rttUs += (rtt - slot.rttUs) * 0.3;
-                var w = new ReplicaWire(s, slot);
-                wire = Optional.of(w);
-                send(w);
-            }
-        });
+        TcpSocket.connect(loop, slot.address, connectMs, SOCKET)
+                .subscribe(
+                        (s, x) -> {
+                            if (x != null) {
+                                slot.open--;
+                                fail(Failure.UNSENT);
+                            } else if (state != State.OPENING) {
+                                slot.open--;
+                                s.close();
+                            } else {
+                                var rtt = Clocks.nowUs() - startUs;
+                                slot.rttUs += (rtt - slot.rttUs) * 0.3;
+                                var w = new ReplicaConnection(s, slot);
+                                wire = Optional.of(w);
+                                send(w);
+                            }
+                        });
     }
 
-    private void send(ReplicaWire w) {
+    private void send(ReplicaConnection w) {
         var now = Clocks.nowUs();
-        var left = (Math.min(errand.clientUs, errand.deadlineUs) - now) / 1000;
+        var left = (Math.min(request.clientUs, request.deadlineUs) - now) / 1000;
         if (left < 1) {
             slot.idle.addFirst(w);
             wire = Optional.empty();
             fail(Failure.UNSENT);
             return;
         }
-        var h = errand.head.copy();
+        var h = request.head.copy();
         h.dropHop();
         h.drop("Expect");
         h.set("X-Time-Remaining", String.valueOf(left));
         h.set("X-Target-Instance", slot.row.id);
-        if (!errand.model.isEmpty()) {
-            h.set("X-Request-Priority", String.valueOf(errand.deferred > 2 ? 8 : errand.deferred > 0 ? 9 : Math.min(7, errand.route.rank * 3)));
+        if (!request.model.isEmpty()) {
+            h.set(
+                    "X-Request-Priority",
+                    String.valueOf(
+                            request.deferred > 2
+                                    ? 8
+                                    : request.deferred > 0
+                                            ? 9
+                                            : Math.min(7, request.route.rank * 3)));
         }
-        if (!errand.lastEvent.isEmpty()) {
-            h.set("Last-Event-Id", errand.lastEvent);
-            after = number(errand.lastEvent);
+        if (!request.lastEvent.isEmpty()) {
+            h.set("Last-Event-Id", request.lastEvent);
+            after = number(request.lastEvent);
         }
-        if (errand.body.length > 0 || errand.head.has("Content-Length") || errand.head.has("Transfer-Encoding")) {
-            h.set("Content-Length", String.valueOf(errand.body.length));
+        if (request.body.length > 0
+                || request.head.has("Content-Length")
+                || request.head.has("Transfer-Encoding")) {
+            h.set("Content-Length", String.valueOf(request.body.length));
         }
         h.three = "HTTP/1.1";
         state = State.SENT;
@@ -129,14 +168,20 @@
         if (slot.quietSinceUs == 0) {
             slot.quietSinceUs = now;
         }
-        w.send(this, h.bytes(), errand.body);
+        w.send(this, h.bytes(), request.body);
     }
 
     public void onHead(Head h) {
         state = State.ANSWERING;
         head = Optional.of(h);
         var run = !h.has("X-Not-Executed") && h.status() != 421;
-        stream = run && h.status() == 200 && h.get("Content-Type").toLowerCase(Locale.ROOT).startsWith("text/event-stream") && h.has("X-Server-Seal");
+        stream =
+                run
+                        && h.status() == 200
+                        && h.get("Content-Type")
+                                .toLowerCase(Locale.ROOT)
+                                .startsWith("text/event-stream")
+                        && h.has("X-Server-Seal");
         if (stream) {
             owner.onStreamHead(this, h);
         }
@@ -166,7 +211,10 @@
         }
     }
 
-    /** On a stream that goes on: the events behind the last one passed on, should the replica send some again. */
+    /**
+     * On a stream that goes on: the events behind the last one passed on, should the replica send
+     * some again.
+     */
     private byte[] fresh(byte[] b, int end) {
         if (after < 0) {
             return Arrays.copyOf(b, end);
@@ -196,7 +244,8 @@
 
     private static int events(byte[] b) {
         for (var i = b.length - 1; i > 0; i--) {
-            if (b[i] == '\n' && (b[i - 1] == '\n' || i > 2 && b[i - 1] == '\r' && b[i - 2] == '\n')) {
+            if (b[i] == '\n'
+                    && (b[i - 1] == '\n' || i > 2 && b[i - 1] == '\r' && b[i - 2] == '\n')) {
                 return i + 1;
             }
         }
@@ -205,7 +254,10 @@
 
     private static String lastId(byte[] b, int end) {
         var s = new String(b, 0, end, StandardCharsets.ISO_8859_1);
-        var i = s.startsWith("id:") ? Math.max(0, s.lastIndexOf("\nid:") + 1) : s.lastIndexOf("\nid:") + 1;
+        var i =
+                s.startsWith("id:")
+                        ? Math.max(0, s.lastIndexOf("\nid:") + 1)
+                        : s.lastIndexOf("\nid:") + 1;
         if (i == 0 && !s.startsWith("id:")) {
             return "";
         }
@@ -241,7 +293,7 @@
     private void broken() {
         var w = wire;
         fail(stream ? Failure.CUT : Failure.MAYBE_RUN);
-        w.ifPresent(ReplicaWire::abandon);
+        w.ifPresent(ReplicaConnection::abandon);
     }
 
     private void fail(Failure f) {
@@ -252,13 +304,13 @@
         owner.onFailed(this, f, Optional.empty());
     }
 
-    /** Ends the leg from our side, without telling the owner. */
+    /** Ends the attempt from our side, without telling the owner. */
     public void abandon() {
         if (state != State.OVER) {
             state = State.OVER;
             var w = wire;
             wire = Optional.empty();
-            w.ifPresent(ReplicaWire::abandon);
+            w.ifPresent(ReplicaConnection::abandon);
         }
     }
 
