--- a/newsstand/src/main/java/martenloom/newsstand/floor/Requester.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/ClientConnection.java
@@ -1,39 +1,46 @@
-package martenloom.newsstand.floor;
+package martenloom.edge.dispatch;
 
-import io.activej.eventloop.*;
-import io.activej.net.socket.tcp.*;
-import java.io.*;
-import java.nio.charset.*;
-import java.util.*;
-import martenloom.galley.clock.*;
-import martenloom.menu.route.*;
-import martenloom.newsstand.head.*;
+import io.activej.eventloop.Eventloop;
+import io.activej.net.socket.tcp.ITcpSocket;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Optional;
+import martenloom.common.clock.Clocks;
+import martenloom.edge.http.Chunks;
+import martenloom.edge.http.Head;
+import martenloom.routing.route.RouteTable;
 
 /**
- * One connection of a requester: reads one errand at a time, strictly and within the limits of the setup, gives it to
- * the floor, and writes its answer. Whatever is cut short stays visibly so: the last chunk is written only when the
- * replica's answer was whole.
+ * One connection of a client: reads one request at a time, strictly and within the limits of the
+ * configuration, gives it to the dispatcher, and writes its answer. Whatever is cut short stays
+ * visibly so: the last chunk is written only when the replica's answer was whole.
  */
-public final class Requester implements Wire.Owner, Errand.Sink {
-    private enum State { HEAD, BODY, IN_HAND, ENDING }
+public final class ClientConnection implements SocketConnection.Owner, Request.Sink {
+    private enum State {
+        HEAD,
+        BODY,
+        IN_HAND,
+        ENDING
+    }
 
     private static final byte[] LAST = "0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
 
-    /** What the requester side needs of the floor. */
-    public interface Floor {
+    /** What the client side needs of the dispatcher. */
+    public interface RequestDispatcher {
         RouteTable table();
 
         boolean leaving();
 
-        void onErrand(Requester r, Head h, byte[] body);
+        void onRequest(ClientConnection r, Head h, byte[] body);
 
-        void onGone(Requester r);
+        void onGone(ClientConnection r);
 
-        void onOpened(Requester r);
+        void onOpened(ClientConnection r);
     }
 
-    private final Wire wire;
-    private final Floor floor;
+    private final SocketConnection wire;
+    private final RequestDispatcher dispatcher;
     private final Eventloop loop;
     private State state = State.HEAD;
     private Head head = new Head();
@@ -41,14 +48,14 @@
     private Optional<Chunks> chunks = Optional.empty();
     private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
     private boolean closeAfter;
-    public Optional<Errand> errand = Optional.empty();
+    public Optional<Request> request = Optional.empty();
     public long sinceUs = Clocks.nowUs();
 
-    public Requester(Eventloop loop, ITcpSocket s, Floor f) {
+    public ClientConnection(Eventloop loop, ITcpSocket s, RequestDispatcher f) {
         this.loop = loop;
-        floor = f;
-        wire = new Wire(s, 1 << 17, this);
-        floor.onOpened(this);
+        dispatcher = f;
+        wire = new SocketConnection(s, 1 << 17, this);
+        dispatcher.onOpened(this);
         wire.start();
     }
 
@@ -73,7 +80,7 @@
             wire.used(2);
         }
         var e = Head.end(wire.buf, wire.from + 3, wire.to);
-        var most = floor.table().limits.headBytes;
+        var most = dispatcher.table().limits.headBytes;
         if (e < 0 ? wire.size() > most : e - wire.from > most) {
             throw new Head.BadHead(431, "head too large");
         }
@@ -87,7 +94,7 @@
             throw new Head.BadHead(400, "host");
         }
         var n = head.length(400);
-        if (n > floor.table().limits.bodyBytes) {
+        if (n > dispatcher.table().limits.bodyBytes) {
             throw new Head.BadHead(413, "body too large");
         }
         closeAfter = head.closes();
@@ -109,7 +116,7 @@
             var c = chunks.get();
             var n = c.take(wire.buf, wire.from, wire.to, (b, f, k) -> body.write(b, f, k));
             wire.used(n - wire.from);
-            if (body.size() > floor.table().limits.bodyBytes) {
+            if (body.size() > dispatcher.table().limits.bodyBytes) {
                 throw new Head.BadHead(413, "body too large");
             }
             if (c.done()) {
@@ -131,7 +138,7 @@
         state = State.IN_HAND;
         var b = body.toByteArray();
         body = new ByteArrayOutputStream(0);
-        floor.onErrand(this, head, b);
+        dispatcher.onRequest(this, head, b);
     }
 
     private void refuse(int status) {
@@ -142,24 +149,33 @@
 
     /** A head of our own with no body; a wait in seconds goes into Retry-After. */
     public static byte[] plain(int status, String wait) {
-        var why = switch (status) {
-            case 400 -> "Bad Request";
-            case 404 -> "Not Found";
-            case 408 -> "Request Timeout";
-            case 413 -> "Content Too Large";
-            case 431 -> "Request Header Fields Too Large";
-            case 502 -> "Bad Gateway";
-            case 503 -> "Service Unavailable";
-            case 504 -> "Gateway Timeout";
-            default -> "Status";
-        };
-        return ("HTTP/1.1 " + status + " " + why + "\r\n" + (wait.isEmpty() ? "" : "Retry-After: " + wait + "\r\n")).getBytes(StandardCharsets.ISO_8859_1);
+        var why =
+                switch (status) {
+                    case 400 -> "Bad Request";
+                    case 404 -> "Not Found";
+                    case 408 -> "Request Timeout";
+                    case 413 -> "Content Too Large";
+                    case 431 -> "Request Header Fields Too Large";
+                    case 502 -> "Bad Gateway";
+                    case 503 -> "Service Unavailable";
+                    case 504 -> "Gateway Timeout";
+                    default -> "Status";
+                };
+        return ("HTTP/1.1 "
+                        + status
+                        + " "
+                        + why
+                        + "\r\n"
+                        + (wait.isEmpty() ? "" : "Retry-After: " + wait + "\r\n"))
+                .getBytes(StandardCharsets.ISO_8859_1);
     }
 
     private byte[] closing(byte[] head, String framing) {
-        var close = closeAfter || floor.leaving();
+        var close = closeAfter || dispatcher.leaving();
         closeAfter = close;
-        var tail = (framing + (close ? "Connection: close\r\n" : "") + "\r\n").getBytes(StandardCharsets.ISO_8859_1);
+        var tail =
+                (framing + (close ? "Connection: close\r\n" : "") + "\r\n")
+                        .getBytes(StandardCharsets.ISO_8859_1);
         var b = Arrays.copyOf(head, head.length + tail.length);
         System.arraycopy(tail, 0, b, head.length, tail.length);
         return b;
@@ -201,7 +217,7 @@
     @Override
     public void cut() {
         state = State.ENDING;
-        errand = Optional.empty();
+        request = Optional.empty();
         wire.closeWhenSent();
     }
 
@@ -211,7 +227,7 @@
     }
 
     private void next() {
-        errand = Optional.empty();
+        request = Optional.empty();
         sinceUs = Clocks.nowUs();
         if (closeAfter) {
             state = State.ENDING;
@@ -226,11 +242,14 @@
 
     /** Called now and then: ends what is idle or too slow. */
     public void check(long now) {
-        var l = floor.table().limits;
+        var l = dispatcher.table().limits;
         var age = now - sinceUs;
-        if (state == State.HEAD && wire.size() == 0 && age > (floor.leaving() ? 1_000_000 : l.idleMs * 1000L + 1_000_000)) {
+        if (state == State.HEAD
+                && wire.size() == 0
+                && age > (dispatcher.leaving() ? 1_000_000 : l.idleMs * 1000L + 1_000_000)) {
             wire.close();
-        } else if (state == State.HEAD && wire.size() > 0 && age > l.headMs * 1000L + 500_000 || state == State.BODY && age > l.idleMs * 1000L) {
+        } else if (state == State.HEAD && wire.size() > 0 && age > l.headMs * 1000L + 500_000
+                || state == State.BODY && age > l.idleMs * 1000L) {
             refuse(408);
         } else if (state == State.ENDING && age > 5_000_000) {
             wire.close();
@@ -239,7 +258,7 @@
 
     @Override
     public void onClosed() {
-        floor.onGone(this);
+        dispatcher.onGone(this);
     }
 
     public void close() {
--- a/newsstand/src/main/java/martenloom/newsstand/floor/ReplicaWire.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/ReplicaConnection.java
@@ -1,25 +1,33 @@
-package martenloom.newsstand.floor;
+package martenloom.edge.dispatch;
 
-import io.activej.net.socket.tcp.*;
-import java.util.*;
-import martenloom.galley.clock.*;
-import martenloom.newsstand.head.*;
-import martenloom.newsstand.rack.*;
+import io.activej.net.socket.tcp.ITcpSocket;
+import java.util.Arrays;
+import java.util.Optional;
+import martenloom.common.clock.Clocks;
+import martenloom.edge.http.Chunks;
+import martenloom.edge.http.Head;
+import martenloom.edge.replica.ReplicaTable;
 
 /**
- * One connection to a replica. It serves one leg at a time and reads that leg's answer; an answer with another id is
- * one too many from before and is passed over. Anything unexpected - bytes while idle, bytes behind an answer, what is
- * no answer - ends the connection, which is then never used again.
+ * One connection to a replica. It serves one attempt at a time and reads that attempt's answer; an
+ * answer with another id is one too many from before and is passed over. Anything unexpected -
+ * bytes while idle, bytes behind an answer, what is no answer - ends the connection, which is then
+ * never used again.
  */
-public final class ReplicaWire implements Wire.Owner {
-    private enum State { IDLE, HEAD, BODY, CLOSED }
+public final class ReplicaConnection implements SocketConnection.Owner {
+    private enum State {
+        IDLE,
+        HEAD,
+        BODY,
+        CLOSED
+    }
 
     private static final int MOST = 1 << 20;
 
-    private final Wire wire;
-    private final Rack.Slot slot;
+    private final SocketConnection wire;
+    private final ReplicaTable.Slot slot;
     private State state = State.IDLE;
-    private Optional<Leg> leg = Optional.empty();
+    private Optional<Attempt> attempt = Optional.empty();
     private boolean skipping;
     private int skips;
     private int left;
@@ -30,9 +38,9 @@
     private long wasIdleUs;
     private boolean heard;
 
-    public ReplicaWire(ITcpSocket s, Rack.Slot slot) {
+    public ReplicaConnection(ITcpSocket s, ReplicaTable.Slot slot) {
         this.slot = slot;
-        wire = new Wire(s, 1 << 18, this);
+        wire = new SocketConnection(s, 1 << 18, this);
         wire.start();
     }
 
@@ -40,15 +48,15 @@
         return state == State.IDLE && wire.isOpen() && now < idleUntilUs;
     }
 
-    /** How long it has been waiting for its next leg; 0 for a new one. */
+    /** How long it has been waiting for its next attempt; 0 for a new one. */
     public long idleUs(long now) {
         return idleSinceUs == 0 ? 0 : now - idleSinceUs;
     }
 
-    public void send(Leg l, byte[] head, byte[] body) {
+    public void send(Attempt l, byte[] head, byte[] body) {
         wasIdleUs = idleUs(Clocks.nowUs());
         heard = false;
-        leg = Optional.of(l);
+        attempt = Optional.of(l);
         state = State.HEAD;
         skipping = false;
         skips = 0;
@@ -105,12 +113,15 @@
             return true;
         }
         var n = h.length(502);
-        if (!h.has("Transfer-Encoding") && !h.has("Content-Length") && h.status() != 204 && h.status() != 304) {
+        if (!h.has("Transfer-Encoding")
+                && !h.has("Content-Length")
+                && h.status() != 204
+                && h.status() != 304) {
             throw new Head.BadHead(502, "an answer without an end");
         }
         lastAnswer = h.closes();
         idleUntilUs = Clocks.nowUs() + keepUs(h);
-        skipping = h.has("X-Attempt-Id") && !h.get("X-Attempt-Id").equals(leg.get().errand.id);
+        skipping = h.has("X-Attempt-Id") && !h.get("X-Attempt-Id").equals(attempt.get().request.id);
         if (skipping && ++skips > 2) {
             throw new Head.BadHead(502, "answers of others");
         }
@@ -121,7 +132,7 @@
         }
         state = State.BODY;
         if (!skipping) {
-            leg.get().onHead(h);
+            attempt.get().onHead(h);
         }
         if (state == State.BODY && chunks.isEmpty() && left == 0) {
             finish();
@@ -134,7 +145,8 @@
             var s = t.strip();
             if (s.startsWith("timeout=")) {
                 try {
-                    return Math.max(0, Long.parseLong(s.substring(8).strip()) * 1_000_000 - 1_000_000);
+                    return Math.max(
+                            0, Long.parseLong(s.substring(8).strip()) * 1_000_000 - 1_000_000);
                 } catch (NumberFormatException e) {
                     return 2_000_000;
                 }
@@ -181,8 +193,8 @@
     }
 
     private void give(byte[] b, int from, int n) {
-        if (!skipping && leg.isPresent()) {
-            leg.get().onBody(b, from, n);
+        if (!skipping && attempt.isPresent()) {
+            attempt.get().onBody(b, from, n);
         }
     }
 
@@ -195,10 +207,16 @@
             }
             return;
         }
-        var l = leg.get();
-        leg = Optional.empty();
+        var l = attempt.get();
+        attempt = Optional.empty();
         state = State.IDLE;
-        var again = !lastAnswer && skips == 0 && wire.size() == 0 && wire.isOpen() && !slot.row.gone && !slot.row.draining;
+        var again =
+                !lastAnswer
+                        && skips == 0
+                        && wire.size() == 0
+                        && wire.isOpen()
+                        && !slot.row.gone
+                        && !slot.row.draining;
         if (again) {
             wire.hold(false);
             idleSinceUs = Clocks.nowUs();
@@ -214,24 +232,27 @@
         if (state == State.CLOSED) {
             return;
         }
-        if (state == State.HEAD && leg.isPresent() && !heard && wasIdleUs > 0) {
+        if (state == State.HEAD && attempt.isPresent() && !heard && wasIdleUs > 0) {
             slot.forgot(wasIdleUs);
         }
         state = State.CLOSED;
         slot.open--;
         slot.idle.remove(this);
-        var l = leg;
-        leg = Optional.empty();
-        l.ifPresent(Leg::onBroken);
+        var l = attempt;
+        attempt = Optional.empty();
+        l.ifPresent(Attempt::onBroken);
     }
 
     public void close() {
         wire.close();
     }
 
-    /** Lets go of the leg and ends the connection, so that the replica drops what it runs for it. */
+    /**
+     * Lets go of the attempt and ends the connection, so that the replica drops what it runs for
+     * it.
+     */
     public void abandon() {
-        leg = Optional.empty();
+        attempt = Optional.empty();
         close();
     }
 }
--- a/newsstand/src/main/java/martenloom/newsstand/floor/Errand.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/Request.java
@@ -1,18 +1,29 @@
-package martenloom.newsstand.floor;
+package martenloom.edge.dispatch;
 
-import java.util.*;
-import martenloom.galley.clock.*;
-import martenloom.menu.route.*;
-import martenloom.newsstand.head.*;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import martenloom.common.clock.Clocks;
+import martenloom.edge.http.Head;
+import martenloom.routing.route.RouteTable;
 
 /**
- * One errand of a requester on its way through the edge: what was asked, how long is left, which legs it has had and
- * how far its answer has come. All changes of its state go through one function.
+ * One request of a client on its way through the edge: what was asked, how long is left, which
+ * attempts it has had and how far its answer has come. All changes of its state go through one
+ * function.
  */
-public final class Errand {
-    public enum State { WAITING, RUNNING, STREAMING, DONE }
+public final class Request {
+    /** Where a request stands; exactly one at any time. */
+    public enum State {
+        WAITING,
+        RUNNING,
+        STREAMING,
+        DONE
+    }
 
-    /** How the requester is told; called by the owner only. */
+    /** How the client is told; called by the owner only. */
     public interface Sink {
         void whole(byte[] head, byte[] body);
 
@@ -45,14 +56,17 @@
     public boolean mayHaveRun;
     public String lastEvent = "";
     public String model = "";
-    public Optional<Leg> leg = Optional.empty();
-    /** 0 for an interactive errand; a deferred job's urgency and one more otherwise. */
+    public Optional<Attempt> attempt = Optional.empty();
+
+    /** 0 for an interactive request; a deferred job's urgency and one more otherwise. */
     public int deferred;
-    /** The states of overload whose share this errand fell into when it was last weighed. */
+
+    /** The states of overload whose share this request fell into when it was last weighed. */
     public List<String> keptAway = List.of();
+
     private State state = State.WAITING;
 
-    public Errand(Head h, byte[] b, RouteTable.Route r, String service, Sink s, long now) {
+    public Request(Head h, byte[] b, RouteTable.Route r, String service, Sink s, long now) {
         head = h;
         body = b;
         route = r;
--- /dev/null
+++ b/edge/src/main/java/martenloom/edge/dispatch/RequestDispatcher.java
@@ -0,0 +1,750 @@
+package martenloom.edge.dispatch;
+
+import io.activej.eventloop.Eventloop;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import martenloom.common.clock.Clocks;
+import martenloom.common.fleet.FleetRecords;
+import martenloom.common.load.LoadSummary;
+import martenloom.common.log.RingLog;
+import martenloom.common.settings.Settings;
+import martenloom.edge.budget.RetryBudget;
+import martenloom.edge.http.Head;
+import martenloom.edge.overload.Overload;
+import martenloom.edge.replica.PrefixOwners;
+import martenloom.edge.replica.ReplicaTable;
+import martenloom.edge.scaling.ScaleRunner;
+import martenloom.routing.route.RouteTable;
+
+/**
+ * The owner of all requests at this edge. Clients and attempts tell it events; it answers with
+ * commands: a attempt to a replica, a wait in the queue, an answer, a cut. Admission, further
+ * attempts and their budget are decided here; which replica is the chooser's.
+ */
+public final class RequestDispatcher implements ClientConnection.RequestDispatcher, Attempt.Owner {
+    private static final int QUEUE = 1024;
+    private static final long WONDER_US = 250_000;
+
+    private final Eventloop loop;
+    private final Settings settings;
+    public final ReplicaTable replicaTable;
+    public final RetryBudget budget;
+    public final PrefixOwners places = new PrefixOwners();
+    public final Overload.Receiver reports = new Overload.Receiver();
+    private final Set<ClientConnection> clients = new LinkedHashSet<>();
+    private final Map<String, Deque<Request>> queues = new TreeMap<>();
+    private final Map<Request, Clocks.Timer> deadlines = new HashMap<>();
+    private final ReplicaSelector chooser;
+    private boolean leaving;
+    private final long startUs = Clocks.nowUs();
+    private int ticket = new Random().nextInt(1 << 20);
+    public final Counters counters = new Counters();
+
+    /** Counts for the shell; plain numbers since the start. */
+    public static final class Counters {
+        public long requests;
+        public long served;
+        public long refused;
+        public long failed;
+        public long repeats;
+        public long resumed;
+        public long timeouts;
+        public long moved;
+        public long jobs;
+    }
+
+    public RequestDispatcher(Eventloop loop, Settings p, ReplicaTable replicaTable) {
+        this.loop = loop;
+        settings = p;
+        this.replicaTable = replicaTable;
+        chooser = new ReplicaSelector(p, replicaTable, places, reports);
+        budget = new RetryBudget(p.bounds.retryRatio, p.bounds.retryWindowS, p.bounds.retrySlack);
+    }
+
+    // ---- what the office tells
+
+    public void onTable(RouteTable t) {
+        chooser.onTable(t);
+    }
+
+    public void onPlaced(Map<String, ScaleRunner.Placed> p) {
+        chooser.onPlaced(p);
+    }
+
+    public void onEvacuated(Set<String> zones, long now) {
+        chooser.onEvacuated(zones, now);
+    }
+
+    public void onEdges(int n) {
+        chooser.onEdges(n);
+    }
+
+    public int edges() {
+        return chooser.edges();
+    }
+
+    public Set<String> evacuated() {
+        return chooser.evacuated();
+    }
+
+    public long spilled() {
+        return chooser.spilled();
+    }
+
+    public void leave() {
+        leaving = true;
+    }
+
+    public int inHand() {
+        return deadlines.size();
+    }
+
+    public int connections() {
+        return clients.size();
+    }
+
+    public void closeIdle() {
+        for (var r : List.copyOf(clients)) {
+            if (r.idle()) {
+                r.close();
+            }
+        }
+    }
+
+    @Override
+    public RouteTable table() {
+        return chooser.table();
+    }
+
+    @Override
+    public boolean leaving() {
+        return leaving;
+    }
+
+    /**
+     * Our requests in flight at models, by region and model: from acceptance to the end, each where
+     * it runs, else here.
+     */
+    public void inFlight(LoadSummary t) {
+        for (var e : deadlines.keySet()) {
+            var svc = table().services.get(e.service);
+            if (e.deferred == 0 && svc != null && svc.engine) {
+                t.fly(e.attempt.map(l -> l.slot.region).orElse(settings.region) + "/" + svc.model);
+            }
+        }
+    }
+
+    // ---- events from clients
+
+    @Override
+    public void onOpened(ClientConnection r) {
+        clients.add(r);
+        if (clients.size() > (settings.maxFds - 200) / 2) {
+            loop.post(r::close);
+        }
+    }
+
+    @Override
+    public void onGone(ClientConnection r) {
+        clients.remove(r);
+        r.request.ifPresent(
+                e -> {
+                    r.request = Optional.empty();
+                    drop(e);
+                });
+    }
+
+    private void drop(Request e) {
+        if (!e.done()) {
+            var l = e.attempt;
+            finish(e);
+            l.ifPresent(this::letGo);
+        }
+    }
+
+    private void letGo(Attempt l) {
+        uncount(l);
+        l.abandon();
+    }
+
+    @Override
+    public void onRequest(ClientConnection r, Head h, byte[] body) {
+        var now = Clocks.nowUs();
+        counters.requests++;
+        if (table().revision == 0) {
+            r.whole(
+                    ClientConnection.plain(
+                            503,
+                            String.format(
+                                    Locale.ROOT, "%.2f", Math.max(0.4, 2 - (now - startUs) / 1e6))),
+                    new byte[0]);
+            return;
+        }
+        var q = h.two.indexOf('?');
+        var host = h.get("Host").toLowerCase(Locale.ROOT);
+        var c = host.indexOf(':');
+        var route =
+                table().find(
+                                c < 0 ? host : host.substring(0, c),
+                                q < 0 ? h.two : h.two.substring(0, q));
+        if (route.isEmpty() && c >= 0) {
+            route = table().find(host, q < 0 ? h.two : h.two.substring(0, q));
+        }
+        if (route.isEmpty()) {
+            r.whole(ClientConnection.plain(404, ""), new byte[0]);
+            return;
+        }
+        var e = new Request(h, body, route.get(), route.get().service(ticket += 61), r, now);
+        r.request = Optional.of(e);
+        budget.request(e.service, now);
+        replicaTable.weigh(e);
+        if (e.deadlineUs <= now + 1000) {
+            refuse(e, 0.1);
+            return;
+        }
+        deadlines.put(e, Clocks.after(loop, e.deadlineUs - now, () -> onDeadline(e)));
+        if (!dispatch(e, now)) {
+            enqueue(e, now);
+        }
+    }
+
+    // ---- deferred jobs
+
+    /**
+     * Whether some replica has room to spare for a job of this urgency, past what interactive
+     * requests need.
+     */
+    public boolean jobRoom(String route, int urgency) {
+        return !leaving && chooser.jobRoom(route, urgency);
+    }
+
+    /**
+     * Starts a job as an request of its own kind: it never waits in an queue, where it could stand
+     * before others.
+     */
+    public Optional<Request> startJob(
+            Head h, byte[] body, Request.Sink sink, int urgency, String lastEvent) {
+        var now = Clocks.nowUs();
+        var q = h.two.indexOf('?');
+        var route =
+                table().find(
+                                h.get("Host").toLowerCase(Locale.ROOT),
+                                q < 0 ? h.two : h.two.substring(0, q));
+        if (route.isEmpty()) {
+            return Optional.empty();
+        }
+        var e = new Request(h, body, route.get(), route.get().service(ticket += 61), sink, now);
+        e.deferred = urgency + 1;
+        e.lastEvent = lastEvent;
+        deadlines.put(e, Clocks.after(loop, e.deadlineUs - now, () -> onDeadline(e)));
+        if (!dispatch(e, now)) {
+            finish(e);
+            return Optional.empty();
+        }
+        counters.jobs++;
+        return Optional.of(e);
+    }
+
+    public void dropJob(Request e) {
+        drop(e);
+    }
+
+    // ---- queue
+
+    private long holdUs(Request e) {
+        if (chooser.asleep(e)) {
+            return (e.deadlineUs - e.arrivedUs) / 2;
+        }
+        return Math.min(e.route.aimUs / 5, (e.deadlineUs - e.arrivedUs) / 3);
+    }
+
+    private void enqueue(Request e, long now) {
+        var box = queues.computeIfAbsent(e.service, k -> new ArrayDeque<>());
+        if (e.deferred > 0) {
+            giveUp(e);
+        } else if (e.sent > 0 && e.mayHaveRun && !e.route.repeatable()) {
+            fail(e, 502);
+        } else if (box.size() >= QUEUE) {
+            refuse(e, 1);
+        } else {
+            box.addLast(e);
+        }
+    }
+
+    private void drainQueues(long now) {
+        for (var box : queues.values()) {
+            if (box.isEmpty()) {
+                continue;
+            }
+            var l = new ArrayList<>(box);
+            l.sort(
+                    Comparator.comparingInt((Request e) -> e.route.rank)
+                            .thenComparingLong(e -> e.arrivedUs));
+            box.clear();
+            for (var e : l) {
+                if (e.done()) {
+                    continue;
+                }
+                if (dispatch(e, now)) {
+                    continue;
+                }
+                var limit =
+                        e.sent > 0
+                                ? Math.max(holdUs(e), (e.deadlineUs - e.arrivedUs) / 2)
+                                : holdUs(e);
+                if (now - e.arrivedUs > limit) {
+                    refuse(e, 0.4);
+                } else {
+                    box.addLast(e);
+                }
+            }
+        }
+    }
+
+    private boolean dispatch(Request e, long now) {
+        var s = chooser.choose(e, now);
+        if (s.isEmpty()) {
+            return false;
+        }
+        if (e.sent > 0 && !budget.spend(e.service, edges(), now)) {
+            return false;
+        }
+        var svc = table().services.get(e.service);
+        var slot = s.get();
+        var kept = chooser.keeps(slot, e);
+        var l = new Attempt(e, slot, slot.unread(e, kept), this);
+        l.aheadTokens = slot.unread + slot.othersUnread(now);
+        l.ownTokens = ownTokens(e, slot, kept);
+        e.attempt = Optional.of(l);
+        e.become(
+                e.state() == Request.State.STREAMING
+                        ? Request.State.STREAMING
+                        : Request.State.RUNNING);
+        slot.mine++;
+        slot.unread += l.unread;
+        slot.attempts.add(l);
+        if (e.sent > 0) {
+            counters.repeats++;
+        }
+        if (svc != null && svc.engine) {
+            slot.keep(e, svc.cacheTokens);
+            if (e.sharedTokens() >= ReplicaSelector.LARGE) {
+                places.put(ReplicaSelector.sharedPart(e), slot.row.id);
+            }
+        }
+        l.start(loop, slot.region.equals(settings.region) ? 400 : 700);
+        return true;
+    }
+
+    /**
+     * Tokens that the replica certainly has to read: all when nobody sent the shared parts there,
+     * else the own part.
+     */
+    private static int ownTokens(Request e, ReplicaTable.Slot s, boolean kept) {
+        if (e.sizes.isEmpty()) {
+            return e.promptTokens;
+        }
+        var all =
+                !kept
+                        && e.sharedTokens() >= ReplicaSelector.LARGE
+                        && !s.has(ReplicaSelector.sharedPart(e));
+        return all
+                ? e.promptTokens
+                : s.has(e.parts.get(e.parts.size() - 1)) ? 0 : e.sizes.get(e.sizes.size() - 1);
+    }
+
+    private void uncount(Attempt l) {
+        if (l.counted) {
+            l.counted = false;
+            l.slot.mine--;
+            l.slot.attempts.remove(l);
+            if (!l.started()) {
+                l.slot.unread -= l.unread;
+            }
+            if (l.slot.attempts.isEmpty()) {
+                l.slot.quietSinceUs = 0;
+            }
+        }
+    }
+
+    // ---- events from attempts
+
+    @Override
+    public void onStreamHead(Attempt l, Head h) {
+        var e = l.request;
+        if (e.done() || e.state() == Request.State.STREAMING) {
+            return;
+        }
+        e.become(Request.State.STREAMING);
+        h.dropHop();
+        e.sink.open(headOnly(h));
+    }
+
+    private static byte[] headOnly(Head h) {
+        var b = h.bytes();
+        return Arrays.copyOf(b, b.length - 2);
+    }
+
+    private void first(Attempt l) {
+        if (l.started()) {
+            return;
+        }
+        l.firstUs = Clocks.nowUs();
+        l.slot.unread -= l.unread;
+        var took = l.firstUs - l.sentUs - l.slot.rttUs - 15_000;
+        if (l.ownTokens > 1500 && l.aheadTokens < 3000 && took > 5_000) {
+            replicaTable.learnRate(l.slot, Math.min(400, l.ownTokens * 1000.0 / took));
+        }
+    }
+
+    @Override
+    public void onEvents(Attempt l, byte[] b, String lastId) {
+        var e = l.request;
+        first(l);
+        if (e.done()) {
+            return;
+        }
+        if (!lastId.isEmpty()) {
+            e.lastEvent = lastId;
+        }
+        e.sink.event(b);
+        if (e.sink.waiting() > 1 << 18) {
+            l.hold(true);
+            resumeWhenRead(l);
+        }
+    }
+
+    private void resumeWhenRead(Attempt l) {
+        Clocks.after(
+                loop,
+                10_000,
+                () -> {
+                    if (l.request.done() || l.request.sink.waiting() < 1 << 16) {
+                        l.hold(false);
+                    } else {
+                        resumeWhenRead(l);
+                    }
+                });
+    }
+
+    @Override
+    public void onStreamEnd(Attempt l, byte[] rest) {
+        uncount(l);
+        var e = l.request;
+        if (e.done()) {
+            return;
+        }
+        answered(l.slot, true, Clocks.nowUs());
+        finish(e);
+        counters.served++;
+        e.sink.event(rest);
+        e.sink.end();
+        room();
+    }
+
+    @Override
+    public void onWhole(Attempt l, Head h, byte[] body) {
+        uncount(l);
+        var e = l.request;
+        e.sent++;
+        if (e.done()) {
+            return;
+        }
+        if (e.state() == Request.State.STREAMING) {
+            e.mayHaveRun = true;
+            cutOff(e);
+            return;
+        }
+        var now = Clocks.nowUs();
+        var took = now - l.sentUs;
+        answered(l.slot, h.status() < 500 || h.status() == 504, now);
+        if (h.status() / 100 == 2) {
+            l.slot.workUs += (Math.max(1000, took - l.slot.rttUs) - l.slot.workUs) * 0.05;
+        }
+        if (h.status() >= 500 && e.route.repeatable() && e.sent < e.route.tries) {
+            e.mayHaveRun = true;
+            e.tried.add(l.slot.row.id);
+            again(e);
+            return;
+        }
+        finish(e);
+        counters.served++;
+        h.dropHop();
+        e.sink.whole(headOnly(h), body);
+        room();
+    }
+
+    @Override
+    public void onFailed(Attempt l, Attempt.Failure f, Optional<Head> h) {
+        uncount(l);
+        var e = l.request;
+        var now = Clocks.nowUs();
+        RingLog.note("attempt of " + e.id + " at " + l.slot.row.id + " failed: " + f);
+        if (f == Attempt.Failure.UNSENT) {
+            l.slot.hold(700_000, now);
+        } else {
+            e.sent++;
+        }
+        if (f == Attempt.Failure.UNRUN) {
+            h.ifPresent(x -> turnedAway(l.slot, x, now));
+        } else if (f != Attempt.Failure.UNSENT) {
+            e.mayHaveRun = true;
+            answered(l.slot, false, now);
+        }
+        if (e.done()) {
+            return;
+        }
+        e.tried.add(l.slot.row.id);
+        e.attempt = Optional.empty();
+        if (f == Attempt.Failure.UNSENT) {
+            e.tried.remove(l.slot.row.id);
+            retryOr(e, now);
+        } else if (f == Attempt.Failure.CUT && !e.route.resumable) {
+            cutOff(e);
+        } else if (f != Attempt.Failure.UNRUN && !e.route.repeatable()) {
+            fail(e, 502);
+        } else if (e.sent >= e.route.tries) {
+            giveUp(e);
+        } else {
+            again(e);
+        }
+    }
+
+    private void answered(ReplicaTable.Slot s, boolean well, long now) {
+        s.health.answered(well, now);
+        if (!well) {
+            replicaTable.judge(s, s.health.ok(now), s.health.bad(now), 0, 0, now);
+        }
+    }
+
+    private static void turnedAway(ReplicaTable.Slot s, Head h, long now) {
+        if (h.status() == 421) {
+            s.suspectUntilUs = now + 1_500_000;
+        } else if (h.status() == 503 || h.status() == 429) {
+            s.fullUntilUs = now + 60_000;
+        }
+    }
+
+    private void again(Request e) {
+        if (e.state() == Request.State.RUNNING) {
+            e.become(Request.State.WAITING);
+        }
+        e.attempt = Optional.empty();
+        retryOr(e, Clocks.nowUs());
+    }
+
+    private void retryOr(Request e, long now) {
+        if (!dispatch(e, now)) {
+            if (e.tried.size() >= replicaTable.of(e.service).size()) {
+                e.tried.clear();
+            }
+            enqueue(e, now);
+        }
+    }
+
+    private void giveUp(Request e) {
+        if (e.state() == Request.State.STREAMING) {
+            cutOff(e);
+        } else if (e.mayHaveRun) {
+            fail(e, 502);
+        } else {
+            refuse(e, 0.3);
+        }
+    }
+
+    // ---- ends
+
+    private void finish(Request e) {
+        e.become(Request.State.DONE);
+        Optional.ofNullable(deadlines.remove(e)).ifPresent(Clocks.Timer::cancel);
+        if (e.sink instanceof ClientConnection r) {
+            r.request = Optional.empty();
+        }
+    }
+
+    private void refuse(Request e, double waitS) {
+        if (e.state() == Request.State.STREAMING) {
+            cutOff(e);
+            return;
+        }
+        if (e.mayHaveRun && !e.route.repeatable()) {
+            fail(e, 502);
+            return;
+        }
+        finish(e);
+        counters.refused++;
+        e.keptAway.forEach(k -> reports.at(k).refused++);
+        e.sink.whole(
+                ClientConnection.plain(
+                        503,
+                        String.format(
+                                Locale.ROOT,
+                                "%.2f",
+                                waitS * (0.75 + Math.floorMod(ticket += 7, 100) / 200.0))),
+                new byte[0]);
+    }
+
+    private void fail(Request e, int status) {
+        if (e.state() == Request.State.STREAMING) {
+            cutOff(e);
+            return;
+        }
+        finish(e);
+        counters.failed++;
+        e.sink.whole(ClientConnection.plain(status, ""), new byte[0]);
+    }
+
+    private void cutOff(Request e) {
+        finish(e);
+        counters.failed++;
+        e.sink.cut();
+    }
+
+    private void onDeadline(Request e) {
+        if (e.done()) {
+            return;
+        }
+        counters.timeouts++;
+        var l = e.attempt;
+        var sent = l.isPresent() && l.get().state() != Attempt.State.OPENING;
+        e.mayHaveRun |= sent;
+        if (e.state() == Request.State.STREAMING) {
+            cutOff(e);
+        } else if (e.mayHaveRun) {
+            fail(e, 504);
+        } else {
+            refuse(e, 0.3);
+        }
+        l.ifPresent(this::letGo);
+    }
+
+    private boolean roomPosted;
+
+    private void room() {
+        if (!roomPosted && queues.values().stream().anyMatch(b -> !b.isEmpty())) {
+            roomPosted = true;
+            loop.post(
+                    () -> {
+                        roomPosted = false;
+                        drainQueues(Clocks.nowUs());
+                    });
+        }
+    }
+
+    // ---- time
+
+    /** Every 20 ms: the queues, and replicas that have gone quiet with attempts in hand. */
+    public void tick() {
+        var now = Clocks.nowUs();
+        drainQueues(now);
+        for (var s : List.copyOf(replicaTable.all())) {
+            quiet(s, now);
+        }
+    }
+
+    public void sweep() {
+        var now = Clocks.nowUs();
+        for (var r : List.copyOf(clients)) {
+            r.check(now);
+        }
+        for (var s : replicaTable.all()) {
+            for (var w : List.copyOf(s.idle)) {
+                if (!w.usable(now)) {
+                    w.close();
+                }
+            }
+        }
+    }
+
+    private void quiet(ReplicaTable.Slot s, long now) {
+        if (s.attempts.isEmpty() || s.quietSinceUs == 0 && now - s.heardUs < 300_000) {
+            s.wondering = false;
+            return;
+        }
+        var first = s.attempts.stream().filter(l -> l.sentUs > 0).mapToLong(l -> l.sentUs).min();
+        var since = Math.max(s.heardUs, first.orElse(now));
+        var patience = patience(s);
+        s.wondering = now - since > Math.max(patience / 2, patience - WONDER_US);
+        if (now - since < patience || s.othersHear(now) && now - since < patience * 2) {
+            return;
+        }
+        if (s.suspectUntilUs < now) {
+            RingLog.note(
+                    "replica " + s.row.id + " is quiet with " + s.attempts.size() + " attempts");
+        }
+        s.suspectUntilUs = Math.max(s.suspectUntilUs, now + 500_000);
+        s.doubtful = true;
+        for (var l : List.copyOf(s.attempts)) {
+            move(l, now);
+        }
+    }
+
+    /**
+     * How long a replica with attempts in hand may say nothing. One event of a stream holds some
+     * tokens, and between any two of them a piece of another prompt may be read, so a stream that
+     * runs may pause for as many pieces.
+     */
+    private long patience(ReplicaTable.Slot s) {
+        var svc = table().services.get(s.row.service);
+        if (svc == null || !svc.engine) {
+            return (long) Math.max(200_000, s.workUs * 5 + s.rttUs);
+        }
+        var unread = s.unread + s.othersUnread(Clocks.nowUs());
+        for (var l : s.attempts) {
+            if (l.started()) {
+                return (long)
+                        (450_000
+                                + s.rttUs
+                                + Math.min(unread, ReplicaTable.PIECE * svc.stepSize)
+                                        / s.rate
+                                        * 1000);
+            }
+        }
+        return (long) (500_000 + s.rttUs + unread / s.rate * 2000);
+    }
+
+    /**
+     * Takes a repeatable request off a replica that has gone quiet, when another replica and the
+     * budget allow.
+     */
+    private void move(Attempt l, long now) {
+        var e = l.request;
+        if (e.done()
+                || !e.route.repeatable()
+                || l.state() == Attempt.State.OPENING
+                || l.state() == Attempt.State.OVER
+                || e.sent + 1 >= e.route.tries) {
+            return;
+        }
+        if (now - l.sentUs < 150_000) {
+            return;
+        }
+        e.sent++;
+        e.tried.add(l.slot.row.id);
+        if (!dispatch(e, now)) {
+            e.sent--;
+            e.attempt = Optional.of(l);
+            return;
+        }
+        counters.moved++;
+        letGo(l);
+    }
+
+    /** A replica's life ended or its time runs out: what can go on elsewhere does. */
+    public void onReplica(FleetRecords.Replica r) {
+        replicaTable.take(r);
+        replicaTable.slot(r.id).ifPresent(chooser::markResting);
+    }
+}
--- a/newsstand/src/main/java/martenloom/newsstand/floor/Wire.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/SocketConnection.java
@@ -1,16 +1,18 @@
-package martenloom.newsstand.floor;
+package martenloom.edge.dispatch;
 
-import io.activej.bytebuf.*;
-import io.activej.net.socket.tcp.*;
-import io.activej.reactor.*;
-import java.util.*;
-import martenloom.galley.socket.*;
+import io.activej.bytebuf.ByteBuf;
+import io.activej.net.socket.tcp.ITcpSocket;
+import io.activej.reactor.Reactor;
+import java.util.Arrays;
+import martenloom.common.socket.SocketReader;
 
 /**
- * One TCP connection of ActiveJ's with a buffer for what has come and is not yet used. It reads on by itself, tells its
- * owner of bytes and of the end, and can be held while the other side does not keep up.
+ * One TCP connection of ActiveJ's with a buffer for what has come and is not yet used. It reads on
+ * by itself, tells its owner of bytes and of the end, and can be held while the other side does not
+ * keep up.
  */
-public final class Wire implements Pump.Owner {
+public final class SocketConnection implements SocketReader.Owner {
+    /** Is told of bytes and of the end of a connection. */
     public interface Owner {
         void onBytes();
 
@@ -22,17 +24,17 @@
     private final int most;
     private boolean open = true;
     private boolean held;
-    private final Pump pump;
+    private final SocketReader pump;
     private int waiting;
     public byte[] buf = new byte[512];
     public int from;
     public int to;
 
-    public Wire(ITcpSocket s, int most, Owner o) {
+    public SocketConnection(ITcpSocket s, int most, Owner o) {
         sock = s;
         owner = o;
         this.most = most;
-        pump = new Pump(s, this);
+        pump = new SocketReader(s, this);
     }
 
     public void start() {
@@ -101,14 +103,16 @@
             return;
         }
         waiting += b.length;
-        sock.write(ByteBuf.wrapForReading(b)).subscribe((v, e) -> {
-            waiting -= b.length;
-            if (e != null) {
-                close();
-            } else if (waiting == 0) {
-                drained.run();
-            }
-        });
+        sock.write(ByteBuf.wrapForReading(b))
+                .subscribe(
+                        (v, e) -> {
+                            waiting -= b.length;
+                            if (e != null) {
+                                close();
+                            } else if (waiting == 0) {
+                                drained.run();
+                            }
+                        });
     }
 
     public Runnable drained = () -> {};
--- a/newsstand/src/main/java/martenloom/newsstand/head/Chunks.java
+++ b/edge/src/main/java/martenloom/edge/http/Chunks.java
@@ -1,16 +1,28 @@
-package martenloom.newsstand.head;
+package martenloom.edge.http;
 
 /**
- * Reads a body in chunks, piece by piece as bytes come, strictly: hex size, CRLF, that many bytes, CRLF, a last chunk of
- * size 0, trailers that are dropped. Gives the bytes of the body to a sink and says where the body ended.
+ * Reads a body in chunks, piece by piece as bytes come, strictly: hex size, CRLF, that many bytes,
+ * CRLF, a last chunk of size 0, trailers that are dropped. Gives the bytes of the body to a sink
+ * and says where the body ended.
  */
 public final class Chunks {
+    /** Receives the payload of chunks. */
     @FunctionalInterface
     public interface Sink {
         void take(byte[] b, int from, int n);
     }
 
-    private enum At { SIZE, EXT, SIZE_LF, DATA, DATA_CR, DATA_LF, TRAILER, TRAILER_LF, DONE }
+    private enum At {
+        SIZE,
+        EXT,
+        SIZE_LF,
+        DATA,
+        DATA_CR,
+        DATA_LF,
+        TRAILER,
+        TRAILER_LF,
+        DONE
+    }
 
     private final int status;
     private At at = At.SIZE;
--- a/newsstand/src/main/java/martenloom/newsstand/head/Head.java
+++ b/edge/src/main/java/martenloom/edge/http/Head.java
@@ -1,14 +1,22 @@
-package martenloom.newsstand.head;
+package martenloom.edge.http;
 
-import java.nio.charset.*;
-import java.util.*;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
 
 /**
- * The head of a request or an answer: the start line's words and the fields in order. Filters edit a head in place. The
- * reading is strict: whatever two readers could understand differently is refused, so that no request can be smuggled
- * inside another.
+ * The head of a request or an answer: the start line's words and the fields in order. Filters edit
+ * a head in place. The reading is strict: whatever two readers could understand differently is
+ * refused, so that no request can be smuggled inside another.
  */
 public final class Head {
+    /**
+     * A request or response head that cannot be taken as HTTP/1.1; carries the status to answer
+     * with.
+     */
     public static final class BadHead extends RuntimeException {
         public final int status;
 
@@ -18,8 +26,18 @@
         }
     }
 
-    private static final Set<String> HOP = Set.of("connection", "keep-alive", "proxy-connection", "transfer-encoding", "te", "trailer", "upgrade",
-        "content-length", "proxy-authenticate", "proxy-authorization");
+    private static final Set<String> HOP =
+            Set.of(
+                    "connection",
+                    "keep-alive",
+                    "proxy-connection",
+                    "transfer-encoding",
+                    "te",
+                    "trailer",
+                    "upgrade",
+                    "content-length",
+                    "proxy-authenticate",
+                    "proxy-authorization");
 
     public String one = "";
     public String two = "";
@@ -39,7 +57,9 @@
 
     public static Head request(byte[] b, int from, int end) {
         var h = read(b, from, end);
-        if (!token(h.one) || !h.two.startsWith("/") || !h.three.equals("HTTP/1.1") && !h.three.equals("HTTP/1.0")) {
+        if (!token(h.one)
+                || !h.two.startsWith("/")
+                || !h.three.equals("HTTP/1.1") && !h.three.equals("HTTP/1.0")) {
             throw new BadHead(400, "start line");
         }
         for (var i = 0; i < h.two.length(); i++) {
@@ -99,7 +119,10 @@
     private static boolean token(String s) {
         for (var i = 0; i < s.length(); i++) {
             var c = s.charAt(i);
-            if (!(c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || "!#$%&'*+-.^_`|~".indexOf(c) >= 0)) {
+            if (!(c >= 'a' && c <= 'z'
+                    || c >= 'A' && c <= 'Z'
+                    || c >= '0' && c <= '9'
+                    || "!#$%&'*+-.^_`|~".indexOf(c) >= 0)) {
                 return false;
             }
         }
@@ -179,17 +202,24 @@
 
     public boolean closes() {
         var c = get("Connection").toLowerCase(Locale.ROOT);
-        return c.contains("close") || (one.equals("HTTP/1.0") || three.equals("HTTP/1.0")) && !c.contains("keep-alive");
+        return c.contains("close")
+                || (one.equals("HTTP/1.0") || three.equals("HTTP/1.0"))
+                        && !c.contains("keep-alive");
     }
 
     public boolean chunked() {
         return has("Transfer-Encoding");
     }
 
-    /** The length of the body, 0 where none is said, -1 when it comes in chunks; anything doubtful is refused. */
+    /**
+     * The length of the body, 0 where none is said, -1 when it comes in chunks; anything doubtful
+     * is refused.
+     */
     public int length(int status) {
         if (has("Transfer-Encoding")) {
-            if (has("Content-Length") || count("Transfer-Encoding") > 1 || !get("Transfer-Encoding").equalsIgnoreCase("chunked")) {
+            if (has("Content-Length")
+                    || count("Transfer-Encoding") > 1
+                    || !get("Transfer-Encoding").equalsIgnoreCase("chunked")) {
                 throw new BadHead(status, "framing");
             }
             return -1;
--- a/newsstand/src/main/java/martenloom/newsstand/overload/Overload.java
+++ b/edge/src/main/java/martenloom/edge/overload/Overload.java
@@ -1,43 +1,78 @@
-package martenloom.newsstand.overload;
+package martenloom.edge.overload;
 
-import java.util.*;
-import martenloom.galley.record.*;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import martenloom.common.codec.Codec;
 
 /**
- * Overload reports after DOIC's loss algorithm, both halves, with no input or output. The reporter half turns what the
- * edges of a region see of its replicas into a reduction of 0 to 100 percent, smoothed and with hysteresis, under a
- * sequence made of the duty's grant number and a counter. The receiving half keeps state by region and model: a newer
- * sequence updates it, an equal or older one is ignored, no report changes nothing, a validity of 0 or expiry ends it,
- * and what was asked for is given back in steps. Percentages of different reports are never added.
+ * Overload reports after DOIC's loss algorithm, both halves, with no input or output. The reporter
+ * half turns what the edges of a region see of its replicas into a reduction of 0 to 100 percent,
+ * smoothed and with hysteresis, under a sequence made of the duty's grant number and a counter. The
+ * receiving half keeps state by region and model: a newer sequence updates it, an equal or older
+ * one is ignored, no report changes nothing, a validity of 0 or expiry ends it, and what was asked
+ * for is given back in steps. Percentages of different reports are never added.
  */
 public final class Overload {
     private Overload() {}
 
     public static final String LOSS = "loss";
 
-    /** The sequence: first the grant of the duty, which the core keeps on disk, then the holder's own counter. */
+    /**
+     * The sequence: first the grant of the duty, which the core keeps on disk, then the holder's
+     * own counter.
+     */
     public record Sequence(long grant, long counter) implements Comparable<Sequence> {
         @Override
         public int compareTo(Sequence o) {
-            return grant != o.grant ? Long.compare(grant, o.grant) : Long.compare(counter, o.counter);
+            return grant != o.grant
+                    ? Long.compare(grant, o.grant)
+                    : Long.compare(counter, o.counter);
         }
     }
 
-    public record Report(String region, String model, String reporter, Sequence seq, long validityUs, String algorithm, int percent) {
+    /** An overload report as it travels between daemons, after the loss algorithm of RFC 7683. */
+    public record Report(
+            String region,
+            String model,
+            String reporter,
+            Sequence seq,
+            long validityUs,
+            String algorithm,
+            int percent) {
         public String key() {
             return region + "/" + model;
         }
 
-        public void write(Rec.Out o) {
-            o.text(region).text(model).text(reporter).i64(seq.grant).i64(seq.counter).i64(validityUs).text(algorithm).i32(percent);
+        public void write(Codec.Out o) {
+            o.text(region)
+                    .text(model)
+                    .text(reporter)
+                    .i64(seq.grant)
+                    .i64(seq.counter)
+                    .i64(validityUs)
+                    .text(algorithm)
+                    .i32(percent);
         }
 
-        public static Report read(Rec.In in) {
-            return new Report(in.text(), in.text(), in.text(), new Sequence(in.i64(), in.i64()), in.i64(), in.text(), in.i32());
+        public static Report read(Codec.In in) {
+            return new Report(
+                    in.text(),
+                    in.text(),
+                    in.text(),
+                    new Sequence(in.i64(), in.i64()),
+                    in.i64(),
+                    in.text(),
+                    in.i32());
         }
     }
 
-    public enum Phase { NONE, ACTIVE, RETURNING }
+    /** Whether a receiver abates traffic to a region, or returns to it in steps. */
+    public enum Phase {
+        NONE,
+        ACTIVE,
+        RETURNING
+    }
 
     /** The state kept for one region and model, with its counters and their denominators. */
     public static final class State {
@@ -73,7 +108,10 @@
 
         public boolean take(Report r, long now) {
             var s = at(r.key());
-            if (!r.algorithm.equals(LOSS) || r.percent < 0 || r.percent > 100 || r.seq.compareTo(s.last) <= 0) {
+            if (!r.algorithm.equals(LOSS)
+                    || r.percent < 0
+                    || r.percent > 100
+                    || r.seq.compareTo(s.last) <= 0) {
                 s.stale++;
                 return false;
             }
@@ -119,7 +157,10 @@
             }
         }
 
-        /** Whether this new prompt is among the share to be kept away; shares are met exactly over a run of prompts. */
+        /**
+         * Whether this new prompt is among the share to be kept away; shares are met exactly over a
+         * run of prompts.
+         */
         public boolean select(String key, long now) {
             var s = at(key);
             tick(s, now);
@@ -158,8 +199,9 @@
         }
 
         /**
-         * Takes the predicted time to a first token against the aim (1 means: just in time) and answers with the report
-         * to send, if one is due. A report of nothing is sent once, with validity 0, to end the condition.
+         * Takes the predicted time to a first token against the aim (1 means: just in time) and
+         * answers with the report to send, if one is due. A report of nothing is sent once, with
+         * validity 0, to end the condition.
          */
         public Optional<Report> observe(String region, String model, String me, double pressure) {
             smooth += (Math.min(pressure, 4) - smooth) * 0.35;
@@ -173,7 +215,15 @@
                 return Optional.empty();
             }
             lastPercent = p;
-            return Optional.of(new Report(region, model, me, new Sequence(grant, ++counter), p == 0 ? 0 : VALID_US, LOSS, p));
+            return Optional.of(
+                    new Report(
+                            region,
+                            model,
+                            me,
+                            new Sequence(grant, ++counter),
+                            p == 0 ? 0 : VALID_US,
+                            LOSS,
+                            p));
         }
 
         private static int percent(double x) {
--- a/newsstand/src/main/java/martenloom/newsstand/rack/Fitness.java
+++ b/edge/src/main/java/martenloom/edge/replica/ReplicaHealth.java
@@ -1,13 +1,19 @@
-package martenloom.newsstand.rack;
+package martenloom.edge.replica;
 
 /**
- * What real answers say of one replica. A replica may fail part of its errands while it says that it is well, for all
- * callers or only for some, so its own word counts for nothing here: answers do, our own and those of the edges of our
- * hall. One that fails too large a part is put aside for a while, comes back with a cost that wears off, and is put aside
- * for twice as long if it fails again, up to a bound. No input or output, no clock.
+ * What real answers say of one replica. A replica may fail part of its requests while it says that
+ * it is well, for all callers or only for some, so its own word counts for nothing here: answers
+ * do, our own and those of the edges of our zone. One that fails too large a part is ejected for a
+ * while, comes back with a cost that wears off, and is ejected for twice as long if it fails again,
+ * up to a bound. No input or output, no clock.
  */
-public final class Fitness {
-    public enum State { FIT, ASIDE, RETURNING }
+public final class ReplicaHealth {
+    /** Whether a replica is used, ejected, or returning. */
+    public enum State {
+        FIT,
+        ASIDE,
+        RETURNING
+    }
 
     public static final long BUCKET_US = 1_500_000;
     public static final long FIRST_US = 2_000_000;
@@ -24,8 +30,8 @@
     private int bad;
     private int okBefore;
     private int badBefore;
-    private long asideUs;
-    private long lastAsideUs;
+    private long ejectedUs;
+    private long lastEjectionUs;
     private long untilUs;
     private long deafUntilUs;
 
@@ -61,17 +67,20 @@
         return bad >= LEAST_BAD && bad >= BAD_PART * (ok + bad);
     }
 
-    /** Takes evidence; a replica that has just been put aside or come back is not judged by what it did before. */
+    /**
+     * Takes evidence; a replica that has just been ejected or come back is not judged by what it
+     * did before.
+     */
     public boolean judge(int okSeen, int badSeen, long now) {
         tick(now);
         return state != State.ASIDE && now >= deafUntilUs && unfit(okSeen, badSeen);
     }
 
-    public void putAside(long now) {
-        var again = lastAsideUs > 0 && now - lastAsideUs < MEMORY_US;
-        asideUs = again ? Math.min(MOST_US, asideUs * 2) : FIRST_US;
-        lastAsideUs = now;
-        become(State.ASIDE, now + asideUs);
+    public void eject(long now) {
+        var again = lastEjectionUs > 0 && now - lastEjectionUs < MEMORY_US;
+        ejectedUs = again ? Math.min(MOST_US, ejectedUs * 2) : FIRST_US;
+        lastEjectionUs = now;
+        become(State.ASIDE, now + ejectedUs);
     }
 
     private void become(State s, long until) {
--- a/newsstand/src/main/java/martenloom/newsstand/rack/Rack.java
+++ b/edge/src/main/java/martenloom/edge/replica/ReplicaTable.java
@@ -1,21 +1,32 @@
-package martenloom.newsstand.rack;
-
-import it.unimi.dsi.fastutil.objects.*;
-import java.net.*;
-import java.util.*;
-import martenloom.galley.clock.*;
-import martenloom.galley.fleet.*;
-import martenloom.galley.log.*;
-import martenloom.galley.props.*;
-import martenloom.menu.route.*;
-import martenloom.newsstand.floor.*;
+package martenloom.edge.replica;
+
+import it.unimi.dsi.fastutil.objects.Object2IntLinkedOpenHashMap;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import martenloom.common.clock.Clocks;
+import martenloom.common.fleet.FleetRecords;
+import martenloom.common.log.RingLog;
+import martenloom.common.settings.Settings;
+import martenloom.edge.dispatch.Attempt;
+import martenloom.edge.dispatch.ReplicaConnection;
+import martenloom.edge.dispatch.Request;
+import martenloom.routing.route.RouteTable;
 
 /**
- * The replicas as this edge sees them, one slot a life: the registry's row, what our own legs and our siblings' samples
- * say of its load, which parts of prompts it keeps, how fast it was seen to read, whether it is warm, and whether it
- * answers at all. Predicts the time to a first token; the choice itself is the floor's.
+ * The replicas as this edge sees them, one slot a life: the registry's row, what our own attempts
+ * and our peers' samples say of its load, which parts of prompts it keeps, how fast it was seen to
+ * read, whether it is warm, and whether it answers at all. Predicts the time to a first token; the
+ * choice itself is the dispatcher's.
  */
-public final class Rack {
+public final class ReplicaTable {
     private static final double FIRST_RATE = 25;
     public static final int PIECE = 4000;
     private static final int OWN_SAMPLES = 8;
@@ -23,16 +34,17 @@
     private static final long STRIKE_APART_US = 500_000;
     private static final int MOST_STRIKES = 2;
     private static final long IDLE_LEAST_US = 200_000;
-    private static final double MOST_ASIDE = 0.4;
+    private static final double MAX_EJECTED_SHARE = 0.4;
     private static final double FAR_US = 6_000;
     private static final long OTHERS_US = 1_500_000;
 
+    /** What this edge knows of one life of a replica. */
     public static final class Slot {
-        public Rows.Replica row;
+        public FleetRecords.Replica row;
         public String region = "";
         public final InetSocketAddress address;
-        public final ArrayDeque<ReplicaWire> idle = new ArrayDeque<>();
-        public final Set<Leg> legs = new LinkedHashSet<>();
+        public final ArrayDeque<ReplicaConnection> idle = new ArrayDeque<>();
+        public final Set<Attempt> attempts = new LinkedHashSet<>();
         public int open;
         public int mine;
         public int unread;
@@ -40,37 +52,50 @@
         private int othersUnread;
         private int othersDoubts;
         private int othersHeard;
-        /** Quiet for long enough to ask the others of the hall what they hear, not yet for more. */
+
+        /** Quiet for long enough to ask the others of the zone what they hear, not yet for more. */
         public boolean wondering;
+
         private int samples;
         private long othersAtUs;
         public double rate = FIRST_RATE;
         public double workUs = 30_000;
         public double rttUs = 1_000;
-        /** A little cost of this edge's own, so that edges prefer different replicas, and the same ones as before, while all have room. */
+
+        /**
+         * A little cost of this edge's own, so that edges prefer different replicas, and the same
+         * ones as before, while all have room.
+         */
         public double farUs;
+
         public long heardUs;
         public long quietSinceUs;
         public long suspectUntilUs;
         public boolean doubtful;
         public long coldFloorUs;
         public long fullUntilUs;
-        public final Fitness fitness = new Fitness();
+        public final ReplicaHealth health = new ReplicaHealth();
+
         /** Unloaded: it gets no new prompts and finishes what it has. */
         public boolean resting;
+
         private int strikes;
         private long heldAtUs;
         private long idleTrustUs = Long.MAX_VALUE / 10;
         private final ArrayDeque<Long> coldSends = new ArrayDeque<>();
-        private final Object2IntLinkedOpenHashMap<String> kept = new Object2IntLinkedOpenHashMap<>();
+        private final Object2IntLinkedOpenHashMap<String> kept =
+                new Object2IntLinkedOpenHashMap<>();
         private long keptTokens;
 
-        private Slot(Rows.Replica r) {
+        private Slot(FleetRecords.Replica r) {
             row = r;
-            address = Props.address("Address", r.address);
+            address = Settings.address("Address", r.address);
         }
 
-        /** What the other edges have here, by the last sums that came; sums too old to be of use count as nothing. */
+        /**
+         * What the other edges have here, by the last sums that came; sums too old to be of use
+         * count as nothing.
+         */
         public void others(int inHand, int unread, int doubts, int heard, long now) {
             othersInHand = Math.max(0, inHand);
             othersUnread = Math.max(0, unread);
@@ -87,28 +112,43 @@
             return now - othersAtUs < OTHERS_US ? othersUnread : 0;
         }
 
-        /** Others of our hall, by the last sums, heard it though somebody wonders: it is busy with them, not gone. */
+        /**
+         * Others of our zone, by the last sums, heard it though somebody wonders: it is busy with
+         * them, not gone.
+         */
         public boolean othersHear(long now) {
             return othersHeard > 0 && now - othersAtUs < 700_000;
         }
 
         public boolean othersDoubt(long now) {
-            return othersDoubts > 0 && othersHeard <= 0 && now - othersAtUs < 700_000 && now - heardUs > 300_000;
+            return othersDoubts > 0
+                    && othersHeard <= 0
+                    && now - othersAtUs < 700_000
+                    && now - heardUs > 300_000;
         }
 
         /**
-         * Holds off a replica that could not be reached. One that is so by turns is held off for twice as long each time, up
-         * to four times. One that is only quiet may be busy, and is not held off longer for that.
+         * Holds off a replica that could not be reached. One that is so by turns is held off for
+         * twice as long each time, up to four times. One that is only quiet may be busy, and is not
+         * held off longer for that.
          */
         public void hold(long baseUs, long now) {
             var since = now - heldAtUs;
-            strikes = heldAtUs == 0 || since > STRIKE_MEMORY_US ? 0 : since > STRIKE_APART_US ? Math.min(MOST_STRIKES, strikes + 1) : strikes;
+            strikes =
+                    heldAtUs == 0 || since > STRIKE_MEMORY_US
+                            ? 0
+                            : since > STRIKE_APART_US
+                                    ? Math.min(MOST_STRIKES, strikes + 1)
+                                    : strikes;
             heldAtUs = now;
             suspectUntilUs = Math.max(suspectUntilUs, now + (baseUs << strikes));
             doubtful = true;
         }
 
-        /** A connection that had been idle for so long was reset when it was used again: this replica forgets sooner. */
+        /**
+         * A connection that had been idle for so long was reset when it was used again: this
+         * replica forgets sooner.
+         */
         public void forgot(long idleUs) {
             idleTrustUs = Math.max(IDLE_LEAST_US, Math.min(idleTrustUs, idleUs * 6 / 10));
         }
@@ -128,11 +168,14 @@
             return coldSends.size();
         }
 
-        /** Legs that are on their way but not sent: they will count against a cold replica's limit too. */
+        /**
+         * Attempts that are on their way but not sent: they will count against a cold replica's
+         * limit too.
+         */
         public int opening() {
             var n = 0;
-            for (var l : legs) {
-                n += l.state() == Leg.State.OPENING ? 1 : 0;
+            for (var l : attempts) {
+                n += l.state() == Attempt.State.OPENING ? 1 : 0;
             }
             return n;
         }
@@ -144,21 +187,24 @@
             }
         }
 
-        /** Tokens of this errand that the replica would have to read. */
-        public int unread(Errand e, boolean assumeShared) {
+        /** Tokens of this request that the replica would have to read. */
+        public int unread(Request e, boolean assumeShared) {
             if (e.sizes.isEmpty()) {
                 return e.promptTokens;
             }
             var n = 0;
             var all = true;
             for (var i = 0; i < e.sizes.size(); i++) {
-                all = all && (kept.containsKey(e.parts.get(i)) || assumeShared && i + 1 < e.sizes.size());
+                all =
+                        all
+                                && (kept.containsKey(e.parts.get(i))
+                                        || assumeShared && i + 1 < e.sizes.size());
                 n += all ? 0 : e.sizes.get(i);
             }
             return Math.max(n, 1);
         }
 
-        public void keep(Errand e, long most) {
+        public void keep(Request e, long most) {
             for (var i = 0; i < e.sizes.size(); i++) {
                 var p = e.parts.get(i);
                 if (kept.containsKey(p)) {
@@ -183,25 +229,28 @@
     }
 
     /** Sends a second that a home lent at one cold replica. */
-    public record Lent(String replica, int n) {}
+    public record Leased(String replica, int n) {}
 
-    private record Loan(long untilUs, Map<String, Integer> n) {}
+    private record ColdSendLease(long untilUs, Map<String, Integer> n) {}
 
     private static final long OPENING_US = 500_000;
     private static final int MOST_COLD = 128;
-    private final Map<String, Loan> loans = new HashMap<>();
+    private final Map<String, ColdSendLease> leases = new HashMap<>();
 
     /** Takes what a home lent, in place of what it lent before, until a moment on our clock. */
-    public void lent(String home, long untilUs, Collection<Lent> l) {
+    public void lent(String home, long untilUs, Collection<Leased> l) {
         var m = new HashMap<String, Integer>();
         l.forEach(x -> m.put(x.replica, x.n));
-        loans.put(home, new Loan(untilUs - OPENING_US, m));
+        leases.put(home, new ColdSendLease(untilUs - OPENING_US, m));
     }
 
-    /** Sends a second that this edge may make at a cold replica; a leg chosen now may be sent up to half a second later. */
+    /**
+     * Sends a second that this edge may make at a cold replica; a attempt chosen now may be sent up
+     * to half a second later.
+     */
     public int coldShare(String replica, long now) {
         var n = 0;
-        for (var l : loans.values()) {
+        for (var l : leases.values()) {
             n += now < l.untilUs ? l.n.getOrDefault(replica, 0) : 0;
         }
         return n;
@@ -212,7 +261,12 @@
         var l = new ArrayList<String>();
         for (var s : slots.values()) {
             var svc = t.services.get(s.row.service);
-            if (svc != null && svc.warmPerS > 0 && s.region.equals(region) && !s.warm(now) && !s.row.draining && l.size() < MOST_COLD) {
+            if (svc != null
+                    && svc.warmPerS > 0
+                    && s.region.equals(region)
+                    && !s.warm(now)
+                    && !s.row.draining
+                    && l.size() < MOST_COLD) {
                 l.add(s.row.id);
             }
         }
@@ -221,19 +275,19 @@
 
     private final Map<String, Slot> slots = new HashMap<>();
     private final Map<String, List<Slot>> byService = new HashMap<>();
-    private final Props props;
+    private final Settings settings;
 
-    public Rack(Props p) {
-        props = p;
+    public ReplicaTable(Settings p) {
+        settings = p;
     }
 
     private final Map<String, Double> rates = new HashMap<>();
     private final Map<String, Double> usual = new HashMap<>();
 
     /**
-     * Takes a sample of tokens read a millisecond. What others may have brought is not counted, so a sample errs low: it
-     * pulls up faster than down. An edge among many sees each replica seldom, so a replica's rate is that of its service
-     * until it has been seen some times itself.
+     * Takes a sample of tokens read a millisecond. What others may have brought is not counted, so
+     * a sample errs low: it pulls up faster than down. An edge among many sees each replica seldom,
+     * so a replica's rate is that of its service until it has been seen some times itself.
      */
     public void learnRate(Slot s, double r) {
         var v = rates.getOrDefault(s.row.service, FIRST_RATE);
@@ -251,32 +305,43 @@
         return usual.getOrDefault(r.name, 0.0);
     }
 
-    public void weigh(Errand e) {
+    public void weigh(Request e) {
         var u = usual.getOrDefault(e.route.name, (double) e.promptTokens);
         usual.put(e.route.name, u + (e.promptTokens - u) * 0.05);
     }
 
     /**
-     * Puts a replica aside when the answers of all edges or those of our hall alone speak against it, but no more than a
-     * part of the replicas of its service and region, and so never all of them.
+     * Puts a replica aside when the answers of all edges or those of our zone alone speak against
+     * it, but no more than a part of the replicas of its service and region, and so never all of
+     * them.
      */
-    public void judge(Slot s, int ok, int bad, int hallOk, int hallBad, long now) {
-        if (!s.fitness.judge(ok, bad, now) && !s.fitness.judge(hallOk, hallBad, now)) {
+    public void judge(Slot s, int ok, int bad, int zoneOk, int zoneBad, long now) {
+        if (!s.health.judge(ok, bad, now) && !s.health.judge(zoneOk, zoneBad, now)) {
             return;
         }
         var peers = 0;
-        var aside = 0;
+        var ejected = 0;
         for (var x : of(s.row.service)) {
             if (x.region.equals(s.region) && !x.row.draining && !x.row.silent) {
                 peers++;
-                aside += x.fitness.state(now) == Fitness.State.ASIDE ? 1 : 0;
+                ejected += x.health.state(now) == ReplicaHealth.State.ASIDE ? 1 : 0;
             }
         }
-        if ((aside + 1) > peers * MOST_ASIDE) {
+        if ((ejected + 1) > peers * MAX_EJECTED_SHARE) {
             return;
         }
-        s.fitness.putAside(now);
-        RingLog.note("replica " + s.row.id + " is put aside: " + bad + " of " + (ok + bad) + " failed, in our hall " + hallBad + " of " + (hallOk + hallBad));
+        s.health.eject(now);
+        RingLog.note(
+                "replica "
+                        + s.row.id
+                        + " is ejected: "
+                        + bad
+                        + " of "
+                        + (ok + bad)
+                        + " failed, in our zone "
+                        + zoneBad
+                        + " of "
+                        + (zoneOk + zoneBad));
     }
 
     public Collection<Slot> all() {
@@ -291,16 +356,22 @@
         return byService.getOrDefault(service, List.of());
     }
 
-    /** Takes a row; gives the slot when it is now gone, so that what is in its hands can be looked after. */
-    public void take(Rows.Replica r) {
+    /**
+     * Takes a row; gives the slot when it is now gone, so that what is in its hands can be looked
+     * after.
+     */
+    public void take(FleetRecords.Replica r) {
         var s = slots.get(r.id);
         if (s == null) {
             if (r.gone) {
                 return;
             }
             s = new Slot(r);
-            s.region = props.regionOf(r.hall);
-            s.farUs = Math.floorMod((props.ip + r.id).hashCode() * 0x9E3779B9 >>> 8, 1000) * FAR_US / 1000;
+            s.region = settings.regionOf(r.zone);
+            s.farUs =
+                    Math.floorMod((settings.ip + r.id).hashCode() * 0x9E3779B9 >>> 8, 1000)
+                            * FAR_US
+                            / 1000;
             s.rate = rates.getOrDefault(r.service, FIRST_RATE);
             s.heardUs = Clocks.nowUs();
             slots.put(r.id, s);
@@ -321,7 +392,7 @@
         s.row.gone = true;
         slots.remove(s.row.id);
         byService.getOrDefault(s.row.service, new ArrayList<>()).remove(s);
-        List.copyOf(s.idle).forEach(ReplicaWire::close);
+        List.copyOf(s.idle).forEach(ReplicaConnection::close);
     }
 
     public int digest() {
@@ -332,8 +403,12 @@
         return d;
     }
 
-    /** Predicted time from now to the first token (or the whole answer, for a plain service), in microseconds. */
-    public double predict(Slot s, RouteTable.Service svc, Errand e, boolean assumeShared, long now) {
+    /**
+     * Predicted time from now to the first token (or the whole answer, for a plain service), in
+     * microseconds.
+     */
+    public double predict(
+            Slot s, RouteTable.Service svc, Request e, boolean assumeShared, long now) {
         var in = s.mine + s.othersInHand(now);
         var cap = Math.max(1, s.row.capacity);
         if (!svc.engine) {
--- a/newsstand/src/test/java/martenloom/newsstand/overload/OverloadTest.java
+++ b/edge/src/test/java/martenloom/edge/overload/OverloadTest.java
@@ -1,16 +1,23 @@
-package martenloom.newsstand.overload;
+package martenloom.edge.overload;
 
-import static org.junit.jupiter.api.Assertions.*;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.*;
-import martenloom.galley.record.*;
-import martenloom.newsstand.overload.Overload.*;
-import org.junit.jupiter.api.*;
+import java.util.Optional;
+import martenloom.common.codec.Codec;
+import martenloom.edge.overload.Overload.Phase;
+import martenloom.edge.overload.Overload.Receiver;
+import martenloom.edge.overload.Overload.Report;
+import martenloom.edge.overload.Overload.Reporter;
+import martenloom.edge.overload.Overload.Sequence;
+import org.junit.jupiter.api.Test;
 
 /** The rules of overload reports, on both halves. */
 final class OverloadTest {
     private static Report r(long grant, long n, long validUs, int percent) {
-        return new Report("north", "m", "10.0.0.1", new Sequence(grant, n), validUs, Overload.LOSS, percent);
+        return new Report(
+                "north", "m", "10.0.0.1", new Sequence(grant, n), validUs, Overload.LOSS, percent);
     }
 
     private static int selected(Receiver v, int of, long now) {
@@ -109,7 +116,10 @@
     @Test
     void anUnknownAlgorithmOrPercentageIsIgnored() {
         var v = new Receiver();
-        assertFalse(v.take(new Report("north", "m", "x", new Sequence(1, 1), 1_000_000, "rate", 60), 0));
+        assertFalse(
+                v.take(
+                        new Report("north", "m", "x", new Sequence(1, 1), 1_000_000, "rate", 60),
+                        0));
         assertFalse(v.take(r(1, 1, 1_000_000, 101), 0));
         assertEquals(0, selected(v, 10, 1));
     }
@@ -129,15 +139,18 @@
         assertTrue(held.get().percent() > 0, "between the bounds the state is held");
         var ends = 0;
         for (var i = 0; i < 20; i++) {
-            ends += p.observe("north", "m", "a", 0.1).filter(x -> x.validityUs() == 0).isPresent() ? 1 : 0;
+            ends +=
+                    p.observe("north", "m", "a", 0.1).filter(x -> x.validityUs() == 0).isPresent()
+                            ? 1
+                            : 0;
         }
         assertEquals(1, ends);
     }
 
     @Test
     void aReportTravelsAsARecord() {
-        var o = new Rec.Out(1);
+        var o = new Codec.Out(1);
         r(3, 9, 5, 70).write(o);
-        assertEquals(r(3, 9, 5, 70), Report.read(new Rec.In(o.bytes(), true)));
+        assertEquals(r(3, 9, 5, 70), Report.read(new Codec.In(o.bytes(), true)));
     }
 }
--- a/kiosk/src/test/java/martenloom/kiosk/town/StandIn.java
+++ b/launcher/src/test/java/martenloom/launcher/harness/StandInReplica.java
@@ -1,45 +1,77 @@
-package martenloom.kiosk.town;
+package martenloom.launcher.harness;
 
-import java.io.*;
-import java.net.*;
-import java.nio.charset.*;
-import java.util.*;
-import java.util.concurrent.*;
-import java.util.concurrent.atomic.*;
-import java.util.function.*;
+import java.io.BufferedInputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Predicate;
 
 /** A stand-in for a replica, with switches for its faults; it counts what it ran by id. */
-public final class StandIn implements Closeable {
-    public enum Mode { WELL, CUT_STREAM, RESET, EXTRA, GARBLE, NOT_RUN, SILENT, LATE_OTHER, FLAKY, FORGETS, STALL }
+public final class StandInReplica implements Closeable {
+    /** How the stand-in misbehaves. */
+    public enum Mode {
+        WELL,
+        CUT_STREAM,
+        RESET,
+        EXTRA,
+        GARBLE,
+        NOT_RUN,
+        SILENT,
+        LATE_OTHER,
+        FLAKY,
+        FORGETS,
+        STALL
+    }
 
     public final String id;
     public final String service;
-    public final String hall;
+    public final String zone;
     public final String address;
     public volatile Mode mode = Mode.WELL;
+
     /** Only for measuring: how long a run takes, with as many places as the beats say. */
     public volatile int workMs;
+
     public final LongAdder busyMs = new LongAdder();
-    /** Errands that a failing replica fails; a part of them, or those of some callers only. */
+
+    /** Requests that a failing replica fails; a part of them, or those of some callers only. */
     public volatile Predicate<String> fails = a -> true;
-    /** Errands that have come to a halt here, in the middle of a stream or before any answer. */
+
+    /** Requests that have come to a halt here, in the middle of a stream or before any answer. */
     public final Set<String> stalled = ConcurrentHashMap.newKeySet();
+
     private final Semaphore places = new Semaphore(8, true);
     public final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
     public final Map<String, String> heads = new ConcurrentHashMap<>();
     public final AtomicInteger seq = new AtomicInteger();
     private final ServerSocket door;
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
-    private final ExecutorService hands = Executors.newCachedThreadPool(r -> {
-        var t = new Thread(r, "stand-in");
-        t.setDaemon(true);
-        return t;
-    });
+    private final ExecutorService hands =
+            Executors.newCachedThreadPool(
+                    r -> {
+                        var t = new Thread(r, "stand-in");
+                        t.setDaemon(true);
+                        return t;
+                    });
 
-    public StandIn(String id, String service, String hall, String ip) throws IOException {
+    public StandInReplica(String id, String service, String zone, String ip) throws IOException {
         this.id = id;
         this.service = service;
-        this.hall = hall;
+        this.zone = zone;
         door = new ServerSocket();
         door.bind(new InetSocketAddress(ip, 0));
         address = ip + ":" + door.getLocalPort();
@@ -79,7 +111,7 @@
     }
 
     private boolean one(Socket s, InputStream in, OutputStream out, int before) throws IOException {
-        var start = Http.line(in);
+        var start = TestHttpClient.line(in);
         if (start.isEmpty()) {
             return false;
         }
@@ -88,17 +120,25 @@
             return false;
         }
         var f = new TreeMap<String, String>(String.CASE_INSENSITIVE_ORDER);
-        for (var l = Http.line(in); !l.isEmpty(); l = Http.line(in)) {
+        for (var l = TestHttpClient.line(in); !l.isEmpty(); l = TestHttpClient.line(in)) {
             f.put(l.substring(0, l.indexOf(':')), l.substring(l.indexOf(':') + 1).strip());
         }
         var body = in.readNBytes(Integer.parseInt(f.getOrDefault("Content-Length", "0")));
         var a = f.getOrDefault("X-Attempt-Id", "");
         if (!f.getOrDefault("X-Target-Instance", id).equals(id)) {
-            out.write(("HTTP/1.1 421 Misdirected\r\nX-Attempt-Id: " + a + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n").getBytes());
+            out.write(
+                    ("HTTP/1.1 421 Misdirected\r\nX-Attempt-Id: "
+                                    + a
+                                    + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+                            .getBytes());
             return true;
         }
         if (mode == Mode.NOT_RUN) {
-            out.write(("HTTP/1.1 503 Full\r\nX-Attempt-Id: " + a + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n").getBytes());
+            out.write(
+                    ("HTTP/1.1 503 Full\r\nX-Attempt-Id: "
+                                    + a
+                                    + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+                            .getBytes());
             return true;
         }
         runs.computeIfAbsent(a, k -> new AtomicInteger()).incrementAndGet();
@@ -111,7 +151,13 @@
             return false;
         }
         if (mode == Mode.FLAKY && fails.test(a)) {
-            out.write(("HTTP/1.1 500 Broken\r\nX-Attempt-Id: " + a + "\r\nX-Server-Seal: seal-" + id + "\r\nContent-Length: 0\r\n\r\n").getBytes());
+            out.write(
+                    ("HTTP/1.1 500 Broken\r\nX-Attempt-Id: "
+                                    + a
+                                    + "\r\nX-Server-Seal: seal-"
+                                    + id
+                                    + "\r\nContent-Length: 0\r\n\r\n")
+                            .getBytes());
             return true;
         }
         if (mode == Mode.STALL && !start.contains("/stream")) {
@@ -126,13 +172,34 @@
             return false;
         }
         if (mode == Mode.LATE_OTHER) {
-            out.write(("HTTP/1.1 200 OK\r\nX-Attempt-Id: 0123\r\nX-Server-Seal: old\r\nContent-Length: 5\r\n\r\nstale").getBytes());
+            out.write(
+                    ("HTTP/1.1 200 OK\r\n"
+                                    + "X-Attempt-Id: 0123\r\n"
+                                    + "X-Server-Seal: old\r\n"
+                                    + "Content-Length: 5\r\n\r\n"
+                                    + "stale")
+                            .getBytes());
         }
         if (start.contains("/stream")) {
-            return stream(in, out, a, Integer.parseInt(f.getOrDefault("Last-Event-Id", "0").isEmpty() ? "0" : f.getOrDefault("Last-Event-Id", "0")));
+            return stream(
+                    in,
+                    out,
+                    a,
+                    Integer.parseInt(
+                            f.getOrDefault("Last-Event-Id", "0").isEmpty()
+                                    ? "0"
+                                    : f.getOrDefault("Last-Event-Id", "0")));
         }
         var text = "done by " + service + " for " + a;
-        var answer = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + a + "\r\nX-Server-Seal: seal-" + id + "\r\nContent-Length: " + text.length() + "\r\n\r\n" + text;
+        var answer =
+                "HTTP/1.1 200 OK\r\nX-Attempt-Id: "
+                        + a
+                        + "\r\nX-Server-Seal: seal-"
+                        + id
+                        + "\r\nContent-Length: "
+                        + text.length()
+                        + "\r\n\r\n"
+                        + text;
         out.write((answer + (mode == Mode.EXTRA ? answer : "")).getBytes());
         out.flush();
         return true;
@@ -157,15 +224,25 @@
         }
     }
 
-    private boolean stream(InputStream in, OutputStream out, String a, int from) throws IOException {
-        out.write(("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + a + "\r\nX-Server-Seal: seal-" + id + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").getBytes());
+    private boolean stream(InputStream in, OutputStream out, String a, int from)
+            throws IOException {
+        out.write(
+                ("HTTP/1.1 200 OK\r\nX-Attempt-Id: "
+                                + a
+                                + "\r\nX-Server-Seal: seal-"
+                                + id
+                                + "\r\n"
+                                + "Content-Type: text/event-stream\r\n"
+                                + "Transfer-Encoding: chunked\r\n\r\n")
+                        .getBytes());
         for (var i = from + 1; i <= 8; i++) {
             var e = "id: " + i + "\ndata: piece " + i + "\n\n";
             if (mode == Mode.STALL && i == 4) {
                 return stall(in, a);
             }
             if (mode == Mode.CUT_STREAM && i == 4) {
-                out.write((Integer.toHexString(e.length()) + "\r\n" + e.substring(0, 5)).getBytes());
+                out.write(
+                        (Integer.toHexString(e.length()) + "\r\n" + e.substring(0, 5)).getBytes());
                 out.flush();
                 return false;
             }
@@ -178,20 +255,32 @@
     }
 
     public String beat(String state, int warmLeftMs) {
-        return "{\"Backend\":\"" + service + "\",\"Address\":\"" + address + "\",\"Zone\":\"" + hall + "\",\"Revision\":\"v1\",\"Capacity\":8,\"State\":\"" + state
-            + "\",\"WarmupLeftMs\":" + warmLeftMs + ",\"Sequence\":" + seq.incrementAndGet() + "}";
+        return "{\"Backend\":\""
+                + service
+                + "\",\"Address\":\""
+                + address
+                + "\",\"Zone\":\""
+                + zone
+                + "\",\"Revision\":\"v1\",\"Capacity\":8,\"State\":\""
+                + state
+                + "\",\"WarmupLeftMs\":"
+                + warmLeftMs
+                + ",\"Sequence\":"
+                + seq.incrementAndGet()
+                + "}";
     }
 
     @Override
     public void close() throws IOException {
         door.close();
-        open.forEach(s -> {
-            try {
-                s.close();
-            } catch (IOException e) {
-                return;
-            }
-        });
+        open.forEach(
+                s -> {
+                    try {
+                        s.close();
+                    } catch (IOException e) {
+                        return;
+                    }
+                });
         hands.shutdownNow();
     }
 }
--- a/kiosk/src/test/java/martenloom/kiosk/town/Http.java
+++ b/launcher/src/test/java/martenloom/launcher/harness/TestHttpClient.java
@@ -1,39 +1,53 @@
-package martenloom.kiosk.town;
+package martenloom.launcher.harness;
 
-import java.io.*;
-import java.net.*;
-import java.nio.charset.*;
-import java.util.*;
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.TreeMap;
 
-/** A requester's side for tests: one exchange on a connection of its own, read strictly to its end. */
-public final class Http {
-    private Http() {}
+/** A client's side for tests: one exchange on a connection of its own, read strictly to its end. */
+public final class TestHttpClient {
+    private TestHttpClient() {}
 
-    public static final class Receipt {
+    /** A response as it was read: status, fields and body. */
+    public static final class Reply {
         public int status;
         public final Map<String, String> fields = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
         public String body = "";
         public boolean whole;
     }
 
-    public static Receipt call(String at, String head, String body) {
+    public static Reply call(String at, String head, String body) {
         var i = at.lastIndexOf(':');
         try (var s = new Socket()) {
-            s.connect(new InetSocketAddress(at.substring(0, i), Integer.parseInt(at.substring(i + 1))), 3000);
+            s.connect(
+                    new InetSocketAddress(
+                            at.substring(0, i), Integer.parseInt(at.substring(i + 1))),
+                    3000);
             s.setSoTimeout(20_000);
             var b = body.getBytes(StandardCharsets.UTF_8);
-            var h = head + (b.length > 0 || head.startsWith("POST") ? "Content-Length: " + b.length + "\r\n" : "") + "\r\n";
+            var h =
+                    head
+                            + (b.length > 0 || head.startsWith("POST")
+                                    ? "Content-Length: " + b.length + "\r\n"
+                                    : "")
+                            + "\r\n";
             s.getOutputStream().write(h.getBytes(StandardCharsets.ISO_8859_1));
             s.getOutputStream().write(b);
             s.getOutputStream().flush();
             return read(new BufferedInputStream(s.getInputStream()));
         } catch (IOException e) {
-            return new Receipt();
+            return new Reply();
         }
     }
 
-    public static Receipt read(InputStream in) throws IOException {
-        var r = new Receipt();
+    public static Reply read(InputStream in) throws IOException {
+        var r = new Reply();
         var l = line(in);
         if (l.length() < 12) {
             return r;
--- a/menu/src/main/java/martenloom/menu/setup/Setups.java
+++ b/routing/src/main/java/martenloom/routing/configuration/Configurations.java
@@ -1,33 +1,54 @@
-package martenloom.menu.setup;
+package martenloom.routing.configuration;
 
-import com.typesafe.config.*;
-import java.util.*;
-import martenloom.autoscaler.*;
-import martenloom.galley.fault.*;
-import martenloom.menu.language.*;
-import martenloom.menu.route.*;
+import com.typesafe.config.Config;
+import com.typesafe.config.ConfigException;
+import com.typesafe.config.ConfigFactory;
+import com.typesafe.config.ConfigParseOptions;
+import com.typesafe.config.ConfigRenderOptions;
+import com.typesafe.config.ConfigSyntax;
+import com.typesafe.config.ConfigUtil;
+import com.typesafe.config.ConfigValue;
+import com.typesafe.config.ConfigValueFactory;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import martenloom.autoscaler.ScaleSettings;
+import martenloom.common.error.Fault;
+import martenloom.routing.language.RoutingLanguage;
+import martenloom.routing.route.RouteTable;
 
 /**
- * Reads and checks the operator's setups with Typesafe Config: a whole setup, or an update that is merged into the one
- * in force. What passes is turned into the menu language and compiled once as a check; what does not is a fault naming
- * the line, the item and the reason.
+ * Reads and checks the operator's configurations with Typesafe Config: a whole configuration, or an
+ * update that is merged into the one in force. What passes is turned into the routing language and
+ * compiled once as a check; what does not is a fault naming the line, the item and the reason.
  */
-public final class Setups {
-    private static final ConfigParseOptions JSON = ConfigParseOptions.defaults().setSyntax(ConfigSyntax.JSON);
+public final class Configurations {
+    private static final ConfigParseOptions JSON =
+            ConfigParseOptions.defaults().setSyntax(ConfigSyntax.JSON);
     private static final List<String> NAMED = List.of("Routes", "Backends", "Autoscaling");
 
-    private Setups() {}
+    private Configurations() {}
 
-    /** A checked setup: its number, the text to read back, and the same in the menu language. */
+    /**
+     * A checked configuration: its number, the text to read back, and the same in the routing
+     * language.
+     */
     public static final class Checked {
         public final long revision;
         public final String json;
-        public final String menu;
+        public final String routingText;
 
         private Checked(long r, String j, String m) {
             revision = r;
             json = j;
-            menu = m;
+            routingText = m;
         }
     }
 
@@ -68,19 +89,20 @@
         if (!NAMED.contains(k)) {
             return u.hasPath(up) ? o.withValue(path, u.getValue(up)) : o;
         }
-        return guard(() -> {
-            var m = new LinkedHashMap<String, ConfigValue>();
-            if (o.hasPath(path)) {
-                o.getConfigList(path).forEach(x -> m.put(x.getString("Name"), x.root()));
-            }
-            if (u.hasPath(down)) {
-                u.getStringList(down).forEach(m::remove);
-            }
-            if (u.hasPath(up)) {
-                u.getConfigList(up).forEach(x -> m.put(x.getString("Name"), x.root()));
-            }
-            return o.withValue(path, ConfigValueFactory.fromIterable(m.values()));
-        });
+        return guard(
+                () -> {
+                    var m = new LinkedHashMap<String, ConfigValue>();
+                    if (o.hasPath(path)) {
+                        o.getConfigList(path).forEach(x -> m.put(x.getString("Name"), x.root()));
+                    }
+                    if (u.hasPath(down)) {
+                        u.getStringList(down).forEach(m::remove);
+                    }
+                    if (u.hasPath(up)) {
+                        u.getConfigList(up).forEach(x -> m.put(x.getString("Name"), x.root()));
+                    }
+                    return o.withValue(path, ConfigValueFactory.fromIterable(m.values()));
+                });
     }
 
     private static <T> T guard(java.util.function.Supplier<T> s) {
@@ -92,7 +114,10 @@
     }
 
     private static Fault bad(ConfigException e) {
-        return Fault.here(Fault.Code.SETUP, "check setup", String.valueOf(e.getMessage()).replace('\n', ' '));
+        return Fault.here(
+                Fault.Code.CONFIGURATION,
+                "check configuration",
+                String.valueOf(e.getMessage()).replace('\n', ' '));
     }
 
     private static Config parse(String json) {
@@ -100,19 +125,21 @@
     }
 
     private static long revision(Config c) {
-        return guard(() -> {
-            var r = c.getLong("Revision");
-            if (r < 1) {
-                throw new ConfigException.BadValue(c.origin(), "Revision", "must be above 0");
-            }
-            return r;
-        });
+        return guard(
+                () -> {
+                    var r = c.getLong("Revision");
+                    if (r < 1) {
+                        throw new ConfigException.BadValue(
+                                c.origin(), "Revision", "must be above 0");
+                    }
+                    return r;
+                });
     }
 
     private static Checked checked(Config c, String json) {
         var t = guard(() -> table(c));
-        var m = MenuText.write(t);
-        MenuText.compile(m);
+        var m = RoutingLanguage.write(t);
+        RoutingLanguage.compile(m);
         return new Checked(t.revision, json, m);
     }
 
@@ -128,21 +155,35 @@
         return new RouteTable(revision(c), limits(c), ss, rs, scaling(c));
     }
 
-    /** One object for each model that is not to have the defaults; an unknown field is refused, so that no typing error passes. */
-    private static Map<String, ScaleProps> scaling(Config c) {
-        var m = new TreeMap<String, ScaleProps>();
-        for (var a : c.hasPath("Autoscaling") ? c.getConfigList("Autoscaling") : List.<Config>of()) {
+    /**
+     * One object for each model that is not to have the defaults; an unknown field is refused, so
+     * that no typing error passes.
+     */
+    private static Map<String, ScaleSettings> scaling(Config c) {
+        var m = new TreeMap<String, ScaleSettings>();
+        for (var a :
+                c.hasPath("Autoscaling") ? c.getConfigList("Autoscaling") : List.<Config>of()) {
             var model = a.getString("Name");
-            var v = new EnumMap<ScaleProps.Field, Double>(ScaleProps.Field.class);
+            var v = new EnumMap<ScaleSettings.Field, Double>(ScaleSettings.Field.class);
             for (var k : a.root().keySet()) {
                 if (k.equals("Name")) {
                     continue;
                 }
-                var f = Arrays.stream(ScaleProps.Field.values()).filter(x -> x.name.equals(k)).findFirst()
-                    .orElseThrow(() -> new ConfigException.BadValue(a.origin(), k, "model '" + model + "': no field of Autoscaling"));
+                var f =
+                        Arrays.stream(ScaleSettings.Field.values())
+                                .filter(x -> x.name.equals(k))
+                                .findFirst()
+                                .orElseThrow(
+                                        () ->
+                                                new ConfigException.BadValue(
+                                                        a.origin(),
+                                                        k,
+                                                        "model '"
+                                                                + model
+                                                                + "': no field of Autoscaling"));
                 v.put(f, a.getDouble(k));
             }
-            m.put(model, ScaleProps.DEFAULT.with(model, v));
+            m.put(model, ScaleSettings.DEFAULT.with(model, v));
         }
         return m;
     }
@@ -150,8 +191,11 @@
     private static RouteTable.Limits limits(Config c) {
         var d = RouteTable.Limits.DEFAULT;
         var l = c.hasPath("Limits") ? c.getConfig("Limits") : ConfigFactory.empty();
-        return new RouteTable.Limits(num(l, "MaxHeaderBytes", d.headBytes), num(l, "MaxBodyBytes", d.bodyBytes),
-            num(l, "HeaderTimeoutMs", d.headMs), num(l, "IdleTimeoutMs", d.idleMs));
+        return new RouteTable.Limits(
+                num(l, "MaxHeaderBytes", d.headBytes),
+                num(l, "MaxBodyBytes", d.bodyBytes),
+                num(l, "HeaderTimeoutMs", d.headMs),
+                num(l, "IdleTimeoutMs", d.idleMs));
     }
 
     private static int num(Config c, String k, int d) {
@@ -194,14 +238,26 @@
             r.regions.addAll(c.getStringList("AllowedRegions"));
         }
         if (c.hasPath("TrafficSplit")) {
-            c.getConfigList("TrafficSplit").forEach(x -> r.shares.add(new RouteTable.Share(x.getString("Backend"), num(x, "Weight", 0))));
+            c.getConfigList("TrafficSplit")
+                    .forEach(
+                            x ->
+                                    r.shares.add(
+                                            new RouteTable.Share(
+                                                    x.getString("Backend"), num(x, "Weight", 0))));
         }
         if (r.shares.isEmpty()) {
             r.shares.add(new RouteTable.Share(c.getString("Backend"), 100));
         }
         for (var s : r.shares) {
             if (ss.stream().noneMatch(x -> x.name.equals(s.service))) {
-                throw new ConfigException.BadValue(c.origin(), "Backend", "route '" + r.name + "' names service '" + s.service + "', which is unknown");
+                throw new ConfigException.BadValue(
+                        c.origin(),
+                        "Backend",
+                        "route '"
+                                + r.name
+                                + "' names service '"
+                                + s.service
+                                + "', which is unknown");
             }
         }
         return r;
@@ -212,7 +268,10 @@
         try {
             return RouteTable.Kind.valueOf(k.toUpperCase(Locale.ROOT));
         } catch (IllegalArgumentException e) {
-            throw new ConfigException.BadValue(c.getValue("RouteType").origin(), "RouteType", "'" + k + "' is no kind of route");
+            throw new ConfigException.BadValue(
+                    c.getValue("RouteType").origin(),
+                    "RouteType",
+                    "'" + k + "' is no kind of route");
         }
     }
 
--- a/menu/src/main/java/martenloom/menu/language/MenuText.java
+++ b/routing/src/main/java/martenloom/routing/language/RoutingLanguage.java
@@ -1,25 +1,34 @@
-package martenloom.menu.language;
+package martenloom.routing.language;
 
-import java.util.*;
-import martenloom.autoscaler.*;
-import martenloom.galley.fault.*;
-import martenloom.menu.route.*;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import martenloom.autoscaler.ScaleSettings;
+import martenloom.common.error.Fault;
+import martenloom.routing.route.RouteTable;
 
 /**
- * The small language of routes and policies, and its compiler. One statement a line; words are parted by blanks, and a
- * word holding blanks stands in double quotes:
+ * The small language of routes and policies, and its compiler. One statement a line; words are
+ * parted by blanks, and a word holding blanks stands in double quotes:
  *
- *   revision 7
- *   limits head 16384 body 4194304 head-wait 3000ms idle 15000ms
- *   service huvo11a health /healthz connections 370 warm 3000ms 32.0/s engine 64 400054 6 m
- *   route r-a3 host ficu95.example under /lohu930/ streaming within 8000ms aim 800ms pause 600ms rank 1 tries 2
- *     resumable affinity to huvo11a 90 wuno96b 10 only catania palermo      (on one line)
- *   scaling m window 60 delay 900 step 50 utilization 70 target 0 floor 2 ceiling 9
+ * <p>revision 7 limits head 16384 body 4194304 head-wait 3000ms idle 15000ms service huvo11a health
+ * /healthz connections 370 warm 3000ms 32.0/s engine 64 400054 6 m route r-a3 host ficu95.example
+ * under /lohu930/ streaming within 8000ms aim 800ms pause 600ms rank 1 tries 2 resumable affinity
+ * to huvo11a 90 wuno96b 10 only catania palermo (on one line) scaling m window 60 delay 900 step 50
+ * utilization 70 target 0 floor 2 ceiling 9
  *
- * A fault gives line, column and reason. The core writes this text from an accepted setup; edges compile it.
+ * <p>A fault gives line, column and reason. The core writes this text from an accepted
+ * configuration; edges compile it.
  */
-public final class MenuText {
-    private MenuText() {}
+public final class RoutingLanguage {
+    private RoutingLanguage() {}
 
     public static RouteTable compile(String text) {
         var p = new Parser();
@@ -33,17 +42,26 @@
     public static String write(RouteTable t) {
         var b = new StringBuilder("revision ").append(t.revision).append('\n');
         var l = t.limits;
-        b.append("limits head ").append(l.headBytes).append(" body ").append(l.bodyBytes).append(" head-wait ").append(l.headMs)
-            .append("ms idle ").append(l.idleMs).append("ms\n");
+        b.append("limits head ")
+                .append(l.headBytes)
+                .append(" body ")
+                .append(l.bodyBytes)
+                .append(" head-wait ")
+                .append(l.headMs)
+                .append("ms idle ")
+                .append(l.idleMs)
+                .append("ms\n");
         t.services.values().forEach(s -> service(b, s));
         t.routes.forEach(r -> route(b, r));
-        new TreeMap<>(t.scaling).forEach((m, p) -> {
-            b.append("scaling ").append(q(m));
-            for (var f : ScaleProps.Field.values()) {
-                b.append(' ').append(f.word).append(' ').append(p.get(f));
-            }
-            b.append('\n');
-        });
+        new TreeMap<>(t.scaling)
+                .forEach(
+                        (m, p) -> {
+                            b.append("scaling ").append(q(m));
+                            for (var f : ScaleSettings.Field.values()) {
+                                b.append(' ').append(f.word).append(' ').append(p.get(f));
+                            }
+                            b.append('\n');
+                        });
         return b.toString();
     }
 
@@ -52,20 +70,51 @@
     }
 
     private static void service(StringBuilder b, RouteTable.Service s) {
-        b.append("service ").append(q(s.name)).append(" health ").append(q(s.healthPath)).append(" connections ").append(s.maxConnections);
+        b.append("service ")
+                .append(q(s.name))
+                .append(" health ")
+                .append(q(s.healthPath))
+                .append(" connections ")
+                .append(s.maxConnections);
         if (s.warmPerS > 0) {
-            b.append(" warm ").append(s.warmUs / 1000).append("ms ").append(s.warmPerS).append("/s");
+            b.append(" warm ")
+                    .append(s.warmUs / 1000)
+                    .append("ms ")
+                    .append(s.warmPerS)
+                    .append("/s");
         }
         if (s.engine) {
-            b.append(" engine ").append(s.capacity).append(' ').append(s.cacheTokens).append(' ').append(s.stepSize).append(' ').append(q(s.model));
+            b.append(" engine ")
+                    .append(s.capacity)
+                    .append(' ')
+                    .append(s.cacheTokens)
+                    .append(' ')
+                    .append(s.stepSize)
+                    .append(' ')
+                    .append(q(s.model));
         }
         b.append('\n');
     }
 
     private static void route(StringBuilder b, RouteTable.Route r) {
-        b.append("route ").append(q(r.name)).append(" host ").append(q(r.host)).append(" under ").append(q(r.prefix)).append(' ')
-            .append(r.kind.name().toLowerCase(Locale.ROOT)).append(" within ").append(r.timeoutUs / 1000).append("ms aim ").append(r.aimUs / 1000)
-            .append("ms pause ").append(r.pauseUs / 1000).append("ms rank ").append(r.rank).append(" tries ").append(r.tries);
+        b.append("route ")
+                .append(q(r.name))
+                .append(" host ")
+                .append(q(r.host))
+                .append(" under ")
+                .append(q(r.prefix))
+                .append(' ')
+                .append(r.kind.name().toLowerCase(Locale.ROOT))
+                .append(" within ")
+                .append(r.timeoutUs / 1000)
+                .append("ms aim ")
+                .append(r.aimUs / 1000)
+                .append("ms pause ")
+                .append(r.pauseUs / 1000)
+                .append("ms rank ")
+                .append(r.rank)
+                .append(" tries ")
+                .append(r.tries);
         if (r.resumable) {
             b.append(" resumable");
         }
@@ -86,7 +135,7 @@
         private RouteTable.Limits limits = RouteTable.Limits.DEFAULT;
         private final Map<String, RouteTable.Service> services = new LinkedHashMap<>();
         private final List<RouteTable.Route> routes = new ArrayList<>();
-        private final Map<String, ScaleProps> scaling = new TreeMap<>();
+        private final Map<String, ScaleSettings> scaling = new TreeMap<>();
         private final Set<String> places = new HashSet<>();
         private final List<String> words = new ArrayList<>();
         private final List<Integer> columns = new ArrayList<>();
@@ -94,8 +143,14 @@
         private int at;
 
         private Fault bad(int word, String why) {
-            var c = word < columns.size() ? columns.get(word) : columns.isEmpty() ? 1 : columns.get(columns.size() - 1);
-            return Fault.here(Fault.Code.SETUP, "compile menu", "line " + line + " column " + c + ": " + why);
+            var c =
+                    word < columns.size()
+                            ? columns.get(word)
+                            : columns.isEmpty() ? 1 : columns.get(columns.size() - 1);
+            return Fault.here(
+                    Fault.Code.CONFIGURATION,
+                    "compile routing text",
+                    "line " + line + " column " + c + ": " + why);
         }
 
         private void split(String s) {
@@ -143,7 +198,13 @@
                 case "service" -> service();
                 case "route" -> route();
                 case "scaling" -> scaling();
-                default -> throw bad(0, "'" + words.get(0) + "' is no statement (revision, limits, service, route, scaling)");
+                default ->
+                        throw bad(
+                                0,
+                                "'"
+                                        + words.get(0)
+                                        + "' is no statement (revision, limits, service, route,"
+                                        + " scaling)");
             }
             if (at < words.size()) {
                 throw bad(at, "'" + words.get(at) + "' is not expected here");
@@ -186,7 +247,9 @@
                     return Double.parseDouble(w.substring(0, w.length() - unit.length()));
                 }
             } catch (NumberFormatException e) {
-                throw bad(at - 1, "'" + w + "' is not a number" + (unit.isEmpty() ? "" : " of " + unit));
+                throw bad(
+                        at - 1,
+                        "'" + w + "' is not a number" + (unit.isEmpty() ? "" : " of " + unit));
             }
             throw bad(at - 1, "'" + w + "' is not a number of " + unit);
         }
@@ -271,17 +334,22 @@
             if (services.values().stream().noneMatch(s -> s.engine && s.model.equals(m))) {
                 throw bad(at - 1, "no service has model '" + m + "'");
             }
-            var v = new EnumMap<ScaleProps.Field, Double>(ScaleProps.Field.class);
+            var v = new EnumMap<ScaleSettings.Field, Double>(ScaleSettings.Field.class);
             while (more()) {
                 var w = word("a field");
-                var f = Arrays.stream(ScaleProps.Field.values()).filter(x -> x.word.equals(w)).findFirst().orElseThrow(() -> bad(at - 1, "'" + w + "' is no field of scaling"));
+                var f =
+                        Arrays.stream(ScaleSettings.Field.values())
+                                .filter(x -> x.word.equals(w))
+                                .findFirst()
+                                .orElseThrow(
+                                        () -> bad(at - 1, "'" + w + "' is no field of scaling"));
                 var n = decimal("");
-                if (n != 0 || f != ScaleProps.Field.TARGET && f != ScaleProps.Field.CEILING) {
+                if (n != 0 || f != ScaleSettings.Field.TARGET && f != ScaleSettings.Field.CEILING) {
                     v.put(f, n);
                 }
             }
             try {
-                scaling.put(m, ScaleProps.DEFAULT.with(m, v));
+                scaling.put(m, ScaleSettings.DEFAULT.with(m, v));
             } catch (Fault x) {
                 throw bad(at - 1, x.getMessage());
             }
--- a/menu/src/main/java/martenloom/menu/route/RouteTable.java
+++ b/routing/src/main/java/martenloom/routing/route/RouteTable.java
@@ -1,25 +1,43 @@
-package martenloom.menu.route;
-
-import java.util.*;
-import martenloom.autoscaler.*;
+package martenloom.routing.route;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import martenloom.autoscaler.ScaleSettings;
 
 /**
- * The immutable table that a setup compiles to: routes found by host and longest prefix, services, and the limits on
- * requesters. A table is replaced whole and never changed.
+ * The immutable table that a configuration compiles to: routes found by host and longest prefix,
+ * services, and the limits on clients. A table is replaced whole and never changed.
  */
 public final class RouteTable {
-    public static final RouteTable EMPTY = new RouteTable(0, Limits.DEFAULT, List.of(), List.of(), Map.of());
+    public static final RouteTable EMPTY =
+            new RouteTable(0, Limits.DEFAULT, List.of(), List.of(), Map.of());
 
     public final long revision;
     public final Limits limits;
     public final Map<String, Service> services;
     public final List<Route> routes;
+
     /** What is set of the scaling of models; a model that is not named has the defaults. */
-    public final Map<String, ScaleProps> scaling;
+    public final Map<String, ScaleSettings> scaling;
+
     private final Map<String, Map<String, Route>> byHost = new HashMap<>();
 
-    public enum Kind { IDEMPOTENT, NON_IDEMPOTENT, STREAMING }
+    /** How often a request of a route may run, and how it is answered. */
+    public enum Kind {
+        IDEMPOTENT,
+        NON_IDEMPOTENT,
+        STREAMING
+    }
 
+    /** Bounds on what a client may send and how long it may take, from the configuration. */
     public static final class Limits {
         public static final Limits DEFAULT = new Limits(16384, 4 << 20, 3000, 15000);
         public final int headBytes;
@@ -35,6 +53,9 @@
         }
     }
 
+    /**
+     * A service as the configuration describes it: its health path, its connections and its engine.
+     */
     public static final class Service {
         public String name = "";
         public String healthPath = "/";
@@ -53,6 +74,7 @@
         }
     }
 
+    /** One service of a route and its weight. */
     public static final class Share {
         public final String service;
         public final int weight;
@@ -63,6 +85,7 @@
         }
     }
 
+    /** One route as the configuration describes it; times are whole microseconds. */
     public static final class Route {
         public String name = "";
         public String host = "";
@@ -103,7 +126,12 @@
         }
     }
 
-    public RouteTable(long rev, Limits l, Collection<Service> ss, Collection<Route> rs, Map<String, ScaleProps> sc) {
+    public RouteTable(
+            long rev,
+            Limits l,
+            Collection<Service> ss,
+            Collection<Route> rs,
+            Map<String, ScaleSettings> sc) {
         revision = rev;
         limits = l;
         var m = new LinkedHashMap<String, Service>();
--- a/foreman/src/main/java/martenloom/foreman/Foreman.java
+++ b/shell/src/main/java/martenloom/shell/Shell.java
@@ -1,25 +1,35 @@
-package martenloom.foreman;
+package martenloom.shell;
 
-import java.io.*;
-import java.net.*;
-import java.util.*;
-import martenloom.galley.fault.*;
-import martenloom.galley.fleet.*;
-import martenloom.galley.props.*;
-import martenloom.galley.record.*;
+import java.io.BufferedReader;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.List;
+import java.util.Optional;
+import martenloom.common.codec.Codec;
+import martenloom.common.error.Fault;
+import martenloom.common.fleet.FleetRecords;
+import martenloom.common.settings.Settings;
 
 /**
- * The shell of queries on the fleet's state: one question to one daemon over the daemons' own records, plain text back.
- * With a query as argument it answers once; without, it reads queries line by line.
+ * The shell of queries on the fleet's state: one question to one daemon over the daemons' own
+ * records, plain text back. With a query as argument it answers once; without, it reads queries
+ * line by line.
  */
-public final class Foreman {
-    private Foreman() {}
+public final class Shell {
+    private Shell() {}
 
     public static int run(String at, List<String> words) {
         if (at.isEmpty()) {
-            throw Fault.here(Fault.Code.USAGE, "read command line", "foreman needs --at IP:PORT (a daemon's first internal port)");
+            throw Fault.here(
+                    Fault.Code.USAGE,
+                    "read command line",
+                    "shell needs --at IP:PORT (a daemon's first internal port)");
         }
-        var to = Props.address("--at", at);
+        var to = Settings.address("--at", at);
         if (!words.isEmpty()) {
             return print(ask(to, String.join(" ", words)));
         }
@@ -49,16 +59,20 @@
             s.connect(to, 2000);
             s.setSoTimeout(3000);
             var out = new DataOutputStream(s.getOutputStream());
-            var b = new Rec.Out(Rows.QUERY).text(q).bytes();
+            var b = new Codec.Out(FleetRecords.QUERY).text(q).bytes();
             out.writeInt(b.length);
             out.write(b);
             out.flush();
             var in = new DataInputStream(s.getInputStream());
             var r = new byte[in.readInt()];
             in.readFully(r);
-            return new Rec.In(r, true).text();
+            return new Codec.In(r, true).text();
         } catch (IOException e) {
-            throw new Fault(Fault.Code.LINK, "ask daemon", to.getAddress().getHostAddress() + ":" + to.getPort(), String.valueOf(e.getMessage()));
+            throw new Fault(
+                    Fault.Code.LINK,
+                    "ask daemon",
+                    to.getAddress().getHostAddress() + ":" + to.getPort(),
+                    String.valueOf(e.getMessage()));
         }
     }
 }
