--- a/launcher/src/test/java/martenloom/launcher/CoreTest.java
+++ b/launcher/src/test/java/martenloom/launcher/CoreTest.java
@@ -312,7 +312,7 @@
             assertEquals(
                     503,
                     TestHttpClient.call(
-                                    t.edge(0) + ":18167",
+                                    t.edge(0) + ":" + TestCluster.READY,
                                     "GET /readyz HTTP/1.1\r\nHost: e\r\nConnection: close\r\n",
                                     "")
                             .status);
--- a/launcher/src/test/java/martenloom/launcher/harness/TestCluster.java
+++ b/launcher/src/test/java/martenloom/launcher/harness/TestCluster.java
@@ -36,10 +36,10 @@
  * an answer, a state that a query shows.
  */
 public final class TestCluster implements Closeable {
-    private static final int PORT = 17720;
-    private static final int CONTROL = 18166;
-    private static final int FRONT = 18161;
-    private static final int READY = 18167;
+    private static final int PORT = PortBlock.port(17720);
+    private static final int CONTROL = PortBlock.port(18166);
+    private static final int FRONT = PortBlock.port(18161);
+    public static final int READY = PortBlock.port(18167);
     private static final List<String> ZONES = List.of("north-a", "south-b", "west-c");
 
     private final Path dir;
