--- a/launcher/src/main/java/martenloom/launcher/Commands.java
+++ b/launcher/src/main/java/martenloom/launcher/Commands.java
@@ -27,6 +27,8 @@
               check-placement FILE      what the loss of a region would strand, and whether the file's change makes it worse
               check-placement --at IP:PORT REGION/MODEL unload|load    the same for an order, against a live core daemon
               shell --at IP:PORT [QUERY]   ask a daemon about the fleet; without QUERY, a shell
+              simulate --seed N --days N [--members 3|5|9] [--steps N] [--kinds KIND,..]
+                                        simulated days of the control side; ends with 1 at a broken invariant
               --help, --version\
             """;
 
@@ -38,6 +40,7 @@
                         .addOption("h", "help", false, "help")
                         .addOption("V", "version", false, "version")
                         .addOption(null, "at", true, "daemon");
+        SimulateCommand.OPTIONS.forEach(name -> o.addOption(null, name, true, "of simulate"));
         CommandLine c;
         try {
             c = new DefaultParser().parse(o, args);
@@ -59,6 +62,7 @@
             case "check-configuration" -> configuration(file(a));
             case "check-placement" ->
                     placement(Optional.ofNullable(c.getOptionValue("at")).orElse(""), a);
+            case "simulate" -> SimulateCommand.run(c);
             case "shell" ->
                     martenloom.shell.Shell.run(
                             Optional.ofNullable(c.getOptionValue("at")).orElse(""),
--- a/launcher/src/test/java/martenloom/launcher/CommandsTest.java
+++ b/launcher/src/test/java/martenloom/launcher/CommandsTest.java
@@ -82,6 +82,46 @@
                         .contains("cannot be read"));
     }
 
+    @Test
+    void simulateRunsDaysAndNamesWhatIsWrong() {
+        assertEquals(
+                0,
+                Commands.run(
+                        new String[] {
+                            "simulate",
+                            "--seed",
+                            "7",
+                            "--days",
+                            "1",
+                            "--members",
+                            "3",
+                            "--steps",
+                            "500",
+                            "--kinds",
+                            "kill,cut-pair"
+                        }));
+        assertTrue(refused("simulate", "--days", "1").contains("--seed: missing"));
+        assertTrue(refused("simulate", "--seed", "1").contains("--days: missing"));
+        assertTrue(
+                refused("simulate", "--seed", "x", "--days", "1")
+                        .contains("--seed: 'x' is not a whole number"));
+        assertTrue(
+                refused("simulate", "--seed", "1", "--days", "0")
+                        .contains("--days: must be between 1 and"));
+        assertTrue(
+                refused("simulate", "--seed", "1", "--days", "1", "--members", "4")
+                        .contains("--members: 4 is none of 3, 5 and 9"));
+        assertTrue(
+                refused("simulate", "--seed", "1", "--days", "1", "--steps", "-1")
+                        .contains("--steps: must be between 1 and"));
+        assertTrue(
+                refused("simulate", "--seed", "1", "--days", "1", "--kinds", "kill,rain")
+                        .contains("--kinds: 'rain' is none of kill,"));
+        assertTrue(
+                refused("simulate", "--seed", "1", "--days", "1", "more")
+                        .contains("takes no arguments"));
+    }
+
     @Test
     void placementsAreCheckedBeforeTheyGoLive() throws IOException {
         var running =
--- /dev/null
+++ b/simulation/src/main/java/martenloom/simulation/Process.java
@@ -0,0 +1,254 @@
+package martenloom.simulation;
+
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import martenloom.common.codec.Codec;
+import martenloom.common.error.Fault;
+import martenloom.common.fleet.FleetRecords;
+import martenloom.core.chain.ChainCore;
+import martenloom.core.state.CoreState;
+import martenloom.core.storage.VersionedStore;
+
+/**
+ * One life of a core member: the chain, the store and the hand-over of orders, with the simulated
+ * world around them.
+ */
+final class Process {
+    private static final long TICK_US = 50_000;
+    private static final long HELLO_US = 500_000;
+    private static final long DISK_RETRY_US = 100_000;
+    private static final long DESK_PATIENCE_US = 850_000;
+    private static final long DESK_PAUSE_US = 60_000;
+    private static final int MOST_DISK_STEPS = 12;
+
+    private final Machine machine;
+    private final Environment environment;
+    private final VersionedStore store;
+    private final ChainCore chain;
+    private final OrderForwarder handOver = new OrderForwarder(this);
+    private final Set<String> dials = new TreeSet<>();
+    private final Deque<ChainCore.Store> stores = new ArrayDeque<>();
+    private final long startedUs;
+    private boolean running = true;
+    private long frozenUntilUs;
+
+    Process(Machine machine, Environment environment, boolean bootstrap) {
+        this.machine = machine;
+        this.environment = environment;
+        startedUs = nowUs();
+        store = new VersionedStore(machine.disk());
+        var seeds = environment.seeds();
+        var kept = store.load().map(ChainCore.MemberState::of);
+        if (kept.isEmpty() && bootstrap && seeds.contains(address())) {
+            kept =
+                    Optional.of(
+                            new ChainCore.MemberState(
+                                    ChainCore.Ballot.ZERO,
+                                    ChainCore.Ballot.ZERO,
+                                    CoreState.founded(seeds)));
+            store.keep(kept.get().bytes());
+        }
+        chain =
+                new ChainCore(
+                        address(),
+                        environment.disks().any(),
+                        kept,
+                        Comparator.naturalOrder(),
+                        nowUs());
+        chain.onLeastRoster(environment.leastRoster());
+        kept.ifPresent(k -> k.state.roster.forEach(this::dial));
+        seeds.forEach(this::dial);
+        after(environment.disks().between(0, TICK_US), this::tick);
+        after(environment.disks().between(0, HELLO_US), this::hello);
+    }
+
+    String address() {
+        return machine.address();
+    }
+
+    ChainCore chain() {
+        return chain;
+    }
+
+    long nowUs() {
+        return environment.agenda().nowUs();
+    }
+
+    long startedUs() {
+        return startedUs;
+    }
+
+    boolean frozen() {
+        return nowUs() < frozenUntilUs;
+    }
+
+    void freeze(long us) {
+        frozenUntilUs = Math.max(frozenUntilUs, nowUs() + us);
+    }
+
+    // ---- what reaches the process
+
+    /** Runs an action in this life, once the process is awake. */
+    void whenAwake(Runnable action) {
+        if (!running) {
+            return;
+        }
+        if (frozen()) {
+            environment.agenda().at(frozenUntilUs, () -> whenAwake(action));
+            return;
+        }
+        action.run();
+        carryOut();
+    }
+
+    void after(long us, Runnable action) {
+        environment.agenda().after(us, () -> whenAwake(action));
+    }
+
+    private void tick() {
+        dials.addAll(chain.committed().roster);
+        dials.remove(address());
+        environment.network().maintain(this, dials);
+        chain.onKnown(dials);
+        chain.onTick(nowUs());
+        after(TICK_US, this::tick);
+    }
+
+    /** Members make themselves known to those they have dialed. */
+    private void hello() {
+        var record = new Codec.Out(FleetRecords.HELLO).text(address()).bytes();
+        dials.forEach(other -> environment.network().send(this, other, record));
+        after(HELLO_US, this::hello);
+    }
+
+    /** A connection of this member was taken in by the other end. */
+    void onConnected(String other) {
+        environment
+                .network()
+                .send(this, other, new Codec.Out(FleetRecords.HELLO).text(address()).bytes());
+    }
+
+    void onRecord(SimulatedNetwork.Connection by, byte[] record) {
+        if (record[0] <= ChainCore.STEP) {
+            chain.onRecord(nowUs(), by.peerOf(this).address(), record);
+            return;
+        }
+        switch (record[0]) {
+            case FleetRecords.HELLO -> dial(new Codec.In(record, true).text());
+            default -> handOver.onRecord(by, record);
+        }
+    }
+
+    /** SIGTERM: the process ends. */
+    void leave(Runnable end) {
+        end.run();
+    }
+
+    /**
+     * An order of a caller, as the control desk takes it: tried again for a while when there is no
+     * head.
+     */
+    void onOrder(CoreState.Change change, Reply reply) {
+        order(change, nowUs(), reply);
+    }
+
+    private void order(CoreState.Change change, long sinceUs, Reply reply) {
+        handOver.ask(
+                change,
+                (status, text) -> {
+                    if (status == 503 && nowUs() - sinceUs < DESK_PATIENCE_US) {
+                        after(DESK_PAUSE_US, () -> order(change, sinceUs, reply));
+                    } else {
+                        reply.accept(status, text);
+                    }
+                });
+    }
+
+    // ---- what the process does
+
+    private void dial(String other) {
+        if (!other.equals(address())) {
+            dials.add(other);
+        }
+    }
+
+    boolean connectedTo(String other) {
+        return environment.network().connected(this, other);
+    }
+
+    void send(String to, byte[] record) {
+        dial(to);
+        environment.network().send(this, to, record);
+    }
+
+    private void carryOut() {
+        for (var commands = chain.drain(); !commands.isEmpty(); commands = chain.drain()) {
+            commands.forEach(this::carryOut);
+        }
+    }
+
+    private void carryOut(ChainCore.Command command) {
+        if (command instanceof ChainCore.Send send) {
+            send(send.to(), send.record());
+        } else if (command instanceof ChainCore.Store store) {
+            stores.add(store);
+            if (stores.size() == 1) {
+                beginStore();
+            }
+        } else if (command instanceof ChainCore.Answer answer) {
+            if (answer.status() == 200) {
+                environment.invariants().acknowledged(chain.view(), address(), startedUs);
+            }
+            handOver.onChainAnswer(answer);
+        } else if (command instanceof ChainCore.Committed committed) {
+            environment.invariants().committed(address(), committed.state());
+        }
+    }
+
+    // ---- the disk
+
+    private void beginStore() {
+        environment.agenda().after(machine.syncUs(), this::finishStore);
+    }
+
+    /** The disk works on while the process is frozen; the process learns of it when it is awake. */
+    private void finishStore() {
+        if (!running) {
+            return;
+        }
+        if (machine.stalledUntilUs() > nowUs()) {
+            environment.agenda().at(machine.stalledUntilUs(), this::finishStore);
+            return;
+        }
+        var store = stores.peek();
+        try {
+            store.keep(store.memberState().bytes());
+        } catch (Fault refused) {
+            environment.agenda().after(DISK_RETRY_US, this::finishStore);
+            return;
+        }
+        stores.poll();
+        if (!stores.isEmpty()) {
+            beginStore();
+        }
+        whenAwake(() -> chain.onStored(nowUs(), store.token()));
+    }
+
+    /** Ends this life; a write under way ends between any two of its steps. */
+    void end(Randomness random) {
+        running = false;
+        if (stores.isEmpty()) {
+            return;
+        }
+        machine.disk().endAfter(random.below(MOST_DISK_STEPS));
+        try {
+            store.keep(stores.peek().memberState().bytes());
+        } catch (SimulatedDisk.Ended | Fault unfinished) {
+            // This is what was to be brought about: the write stays as it is.
+        }
+    }
+}
--- /dev/null
+++ b/simulation/src/test/java/martenloom/simulation/SimulationTest.java
@@ -0,0 +1,63 @@
+package martenloom.simulation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** A fixed set of simulated days, bounded in steps, and the simulation's own promises. */
+final class SimulationTest {
+    private static final long STEPS_OF_A_DAY = 100_000;
+    private static final List<TroubleKind> ALL = List.of(TroubleKind.values());
+    private final ByteArrayOutputStream printed = new ByteArrayOutputStream();
+
+    private Simulation simulation(long seed, int days, int members, List<TroubleKind> kinds) {
+        var options = new Simulation.Options(seed, days, members, STEPS_OF_A_DAY, kinds);
+        return new Simulation(options, new PrintStream(printed, true, StandardCharsets.UTF_8));
+    }
+
+    private String text() {
+        return printed.toString(StandardCharsets.UTF_8);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1, 60, 3", "1001, 60, 5", "2001, 30, 9"})
+    void noDayBreaksAnInvariant(long seed, int days, int members) {
+        var failing = simulation(seed, days, members, ALL).run();
+        assertTrue(failing.isEmpty(), this::text);
+        assertTrue(text().contains(days + " days of " + members + " members"), this::text);
+    }
+
+    @Test
+    void theSameScheduleComesToTheSameDay() {
+        var schedule = Schedule.draw(7, 5, ALL);
+        assertEquals(schedule, Schedule.draw(7, 5, ALL));
+        var one = Day.run(schedule, STEPS_OF_A_DAY);
+        var other = Day.run(schedule, STEPS_OF_A_DAY);
+        assertEquals(one.steps(), other.steps());
+        assertEquals(one.broughtAbout(), other.broughtAbout());
+    }
+
+    @Test
+    void aDayIsBoundedInSteps() {
+        var day = Day.run(Schedule.draw(7, 3, ALL), 1_000);
+        assertEquals(1_000, day.steps());
+        assertTrue(day.violation().isEmpty());
+    }
+
+    @Test
+    void everyKindIsBroughtAboutAndNamed() {
+        for (var kind : TroubleKind.values()) {
+            assertEquals(kind, TroubleKind.of(kind.word()).orElseThrow());
+            var schedule = Schedule.draw(3, 5, List.of(kind));
+            assertFalse(Day.run(schedule, STEPS_OF_A_DAY).broughtAbout().isEmpty(), kind::word);
+        }
+    }
+}
