--- a/simulation/src/main/java/martenloom/simulation/Process.java
+++ b/simulation/src/main/java/martenloom/simulation/Process.java
@@ -21,13 +21,13 @@
     private static final long TICK_US = 50_000;
     private static final long HELLO_US = 500_000;
     private static final long DISK_RETRY_US = 100_000;
-    private static final long DESK_PATIENCE_US = 850_000;
-    private static final long DESK_PAUSE_US = 60_000;
+    private static final long API_PATIENCE_US = 850_000;
+    private static final long API_PAUSE_US = 60_000;
     private static final int MOST_DISK_STEPS = 12;
 
     private final Machine machine;
     private final Environment environment;
-    private final VersionedStore store;
+    private final VersionedStore disk;
     private final ChainCore chain;
     private final OrderForwarder handOver = new OrderForwarder(this);
     private final Set<String> dials = new TreeSet<>();
@@ -40,9 +40,9 @@
         this.machine = machine;
         this.environment = environment;
         startedUs = nowUs();
-        store = new VersionedStore(machine.disk());
+        disk = new VersionedStore(machine.disk());
         var seeds = environment.seeds();
-        var kept = store.load().map(ChainCore.MemberState::of);
+        var kept = disk.load().map(ChainCore.MemberState::of);
         if (kept.isEmpty() && bootstrap && seeds.contains(address())) {
             kept =
                     Optional.of(
@@ -50,7 +50,7 @@
                                     ChainCore.Ballot.ZERO,
                                     ChainCore.Ballot.ZERO,
                                     CoreState.founded(seeds)));
-            store.keep(kept.get().bytes());
+            disk.keep(kept.get().bytes());
         }
         chain =
                 new ChainCore(
@@ -149,7 +149,7 @@
     }
 
     /**
-     * An order of a caller, as the control desk takes it: tried again for a while when there is no
+     * An order of a caller, as the control API takes it: tried again for a while when there is no
      * head.
      */
     void onOrder(CoreState.Change change, Reply reply) {
@@ -160,8 +160,8 @@
         handOver.ask(
                 change,
                 (status, text) -> {
-                    if (status == 503 && nowUs() - sinceUs < DESK_PATIENCE_US) {
-                        after(DESK_PAUSE_US, () -> order(change, sinceUs, reply));
+                    if (status == 503 && nowUs() - sinceUs < API_PATIENCE_US) {
+                        after(API_PAUSE_US, () -> order(change, sinceUs, reply));
                     } else {
                         reply.accept(status, text);
                     }
@@ -226,7 +226,7 @@
         }
         var store = stores.peek();
         try {
-            store.keep(store.memberState().bytes());
+            disk.keep(store.memberState().bytes());
         } catch (Fault refused) {
             environment.agenda().after(DISK_RETRY_US, this::finishStore);
             return;
@@ -246,7 +246,7 @@
         }
         machine.disk().endAfter(random.below(MOST_DISK_STEPS));
         try {
-            store.keep(stores.peek().memberState().bytes());
+            disk.keep(stores.peek().memberState().bytes());
         } catch (SimulatedDisk.Ended | Fault unfinished) {
             // This is what was to be brought about: the write stays as it is.
         }
