--- a/simulation/src/main/java/martenloom/simulation/Invariants.java
+++ b/simulation/src/main/java/martenloom/simulation/Invariants.java
@@ -21,6 +21,7 @@
     private final Map<ChainCore.Ballot, Acknowledger> acknowledgers = new HashMap<>();
     private final ConfigurationHistory configurations = new ConfigurationHistory();
     private final EvacuationHistory evacuations = new EvacuationHistory();
+    private final LeaseHistory leases = new LeaseHistory();
 
     ConfigurationHistory configurations() {
         return configurations;
@@ -30,6 +31,10 @@
         return evacuations;
     }
 
+    LeaseHistory leases() {
+        return leases;
+    }
+
     /** The newest edition that any member has committed. */
     long newestEdition() {
         return committed.isEmpty() ? 0 : committed.lastKey();
@@ -56,6 +61,7 @@
         if (before != null) {
             checkRosters(before.roster, state.roster);
             configurations.onNext(before, state);
+            leases.onNext(before, state);
         }
         configurations.onCommitted(state);
         evacuations.onCommitted(state);
--- /dev/null
+++ b/simulation/src/main/java/martenloom/simulation/LeaseCandidate.java
@@ -0,0 +1,67 @@
+package martenloom.simulation;
+
+import java.util.Optional;
+
+/** One of several edges that want the same lease, each from its own home among the members. */
+final class LeaseCandidate {
+    private static final long WISH_US = 400_000;
+    private static final long HOME_PATIENCE_US = 1_500_000;
+    private static final long LONGEST_WAY_US = 20_000;
+
+    private final String key;
+    private final String holder;
+    private final Agenda agenda;
+    private final Randomness random;
+    private final Callers.Directory machines;
+    private final LeaseHistory history;
+    private String home = "";
+    private long heardUs;
+
+    LeaseCandidate(
+            String key,
+            String holder,
+            Agenda agenda,
+            Randomness random,
+            Callers.Directory machines,
+            LeaseHistory history) {
+        this.key = key;
+        this.holder = holder;
+        this.agenda = agenda;
+        this.random = random;
+        this.machines = machines;
+        this.history = history;
+    }
+
+    void start() {
+        agenda.after(random.between(0, WISH_US), this::wish);
+    }
+
+    private void wish() {
+        if (home.isEmpty() || agenda.nowUs() - heardUs > HOME_PATIENCE_US) {
+            home = random.pick(machines.addresses());
+            heardUs = agenda.nowUs();
+        }
+        var stampUs = agenda.nowUs();
+        var address = home;
+        agenda.after(wayUs(), () -> arrive(address, stampUs));
+        agenda.after(WISH_US, this::wish);
+    }
+
+    private void arrive(String address, long stampUs) {
+        Optional<Process> process = machines.running(address);
+        process.ifPresent(p -> p.whenAwake(() -> p.onWish(key, holder, stampUs, this::answered)));
+    }
+
+    private void answered(long grant, long stampUs) {
+        agenda.after(wayUs(), () -> granted(grant, stampUs));
+    }
+
+    private void granted(long grant, long stampUs) {
+        heardUs = agenda.nowUs();
+        history.onGranted(key, holder, grant, stampUs, agenda.nowUs());
+    }
+
+    private long wayUs() {
+        return random.between(200, LONGEST_WAY_US);
+    }
+}
--- /dev/null
+++ b/simulation/src/main/java/martenloom/simulation/LeaseForwarder.java
@@ -0,0 +1,74 @@
+package martenloom.simulation;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import martenloom.common.codec.Codec;
+import martenloom.common.fleet.FleetRecords;
+import martenloom.core.duty.DutyService;
+
+/**
+ * The way of a candidate's wish for a lease from its home to the head of the chain, and of the
+ * grant back, as the core daemon does it.
+ */
+final class LeaseForwarder {
+    private static final long OTHERS_EVERY_US = 350_000;
+
+    /** Takes a grant that reached the home of a candidate. */
+    @FunctionalInterface
+    interface Grantee {
+        void granted(long grant, long stampUs);
+    }
+
+    private final Process process;
+    private final DutyService duties;
+    private final Map<String, Grantee> grantees = new HashMap<>();
+    private final Map<String, Long> passedOnUs = new HashMap<>();
+
+    LeaseForwarder(Process process, DutyService duties) {
+        this.process = process;
+        this.duties = duties;
+    }
+
+    /**
+     * A candidate wants a lease; its holder's wishes are always passed on, others' now and then.
+     */
+    void want(String key, String holder, long stampUs, Grantee grantee) {
+        grantees.put(holder, grantee);
+        var held = Optional.ofNullable(process.chain().committed().duties.get(key));
+        if (held.isEmpty() || !held.get().holder.equals(holder)) {
+            if (process.nowUs() - passedOnUs.getOrDefault(key, 0L) < OTHERS_EVERY_US) {
+                return;
+            }
+            passedOnUs.put(key, process.nowUs());
+        }
+        if (process.chain().heading()) {
+            duties.want(key, holder, stampUs, record -> grant(new Codec.In(record, true)));
+            return;
+        }
+        var record = new Codec.Out(FleetRecords.DUTY_WANT).text(key).text(holder).i64(stampUs);
+        process.connection(process.chain().head()).ifPresent(c -> c.send(record.bytes()));
+    }
+
+    void onWant(SimulatedNetwork.Connection by, Codec.In in) {
+        duties.want(in.text(), in.text(), in.i64(), by::answer);
+    }
+
+    /** A grant counts only when it comes from the head and no newer one is known. */
+    void onGrant(SimulatedNetwork.Connection by, Codec.In in) {
+        var ofHead = process.connection(process.chain().head()).filter(c -> c == by).isPresent();
+        if (ofHead) {
+            grant(in);
+        }
+    }
+
+    private void grant(Codec.In in) {
+        var holder = in.text();
+        var key = in.text();
+        var grant = in.i64();
+        var stampUs = in.i64();
+        if (!process.chain().committed().overtaken(key, grant)) {
+            Optional.ofNullable(grantees.get(holder)).ifPresent(g -> g.granted(grant, stampUs));
+        }
+    }
+}
--- a/simulation/src/main/java/martenloom/simulation/OrderForwarder.java
+++ b/simulation/src/main/java/martenloom/simulation/OrderForwarder.java
@@ -5,78 +5,75 @@
 import java.util.Optional;
 import martenloom.common.codec.Codec;
 import martenloom.common.fleet.FleetRecords;
+import martenloom.common.link.PendingRequests;
 import martenloom.core.chain.ChainCore;
 import martenloom.core.state.CoreState;
 
 /**
  * The way of an order from the member that a caller reached to the head of the chain, and of the
- * answer back.
+ * answer back, as the core daemon does it.
  */
 final class OrderForwarder {
     private static final long PATIENCE_US = 2_500_000;
-    private static final long STALE_US = 1_500_000;
 
     private final Process process;
-    private final Map<Long, Reply> asked = new HashMap<>();
-    private long lastId;
+    private final Map<Long, Reply> local = new HashMap<>();
+    private final PendingRequests<SimulatedNetwork.Connection> remote;
+    private long lastLocal;
 
-    OrderForwarder(Process process) {
+    OrderForwarder(Process process, long life) {
         this.process = process;
+        remote = new PendingRequests<>(life);
     }
 
-    void ask(CoreState.Change change, Reply reply) {
+    void forward(CoreState.Change change, Reply reply) {
         var chain = process.chain();
         if (chain.heading()) {
             askHere(change, reply);
             return;
         }
-        var head = chain.head();
-        if (!process.connectedTo(head) || chain.staleUs(process.nowUs()) > STALE_US) {
-            reply.accept(503, "no head is known");
+        var head = process.connection(chain.head());
+        if (head.isEmpty() || !chain.fresh(process.nowUs())) {
+            reply.accept(Reply.UNAVAILABLE, "no head is known");
             return;
         }
-        var id = ++lastId;
-        asked.put(id, reply);
-        var record = new Codec.Out(FleetRecords.ASK).i64(id);
+        var id = remote.open(head.get(), reply::accept);
+        var record = new Codec.Out(FleetRecords.ASK);
+        id.write(record);
         change.write(record);
-        process.send(head, record.bytes());
-        process.after(
-                PATIENCE_US,
-                () ->
-                        Optional.ofNullable(asked.remove(id))
-                                .ifPresent(r -> r.accept(503, "no answer from the head")));
+        head.get().send(record.bytes());
+        process.after(PATIENCE_US, () -> remote.expire(id, "no answer from the head"));
     }
 
-    private void askHere(CoreState.Change change, Reply reply) {
-        var id = ++lastId;
-        asked.put(id, reply);
+    /** Hands an order to the chain of this member. */
+    void askHere(CoreState.Change change, Reply reply) {
+        var id = ++lastLocal;
+        local.put(id, reply);
         process.chain().onAsk(process.nowUs(), id, change);
     }
 
     void onChainAnswer(ChainCore.Answer answer) {
-        Optional.ofNullable(asked.remove(answer.request()))
+        Optional.ofNullable(local.remove(answer.request()))
                 .ifPresent(r -> r.accept(answer.status(), answer.text()));
     }
 
-    /** Takes a record of this exchange. */
-    void onRecord(SimulatedNetwork.Connection by, byte[] record) {
-        var in = new Codec.In(record, true);
-        if (in.type == FleetRecords.ASK) {
-            var id = in.i64();
-            askHere(
-                    CoreState.Change.read(in),
-                    (status, text) ->
-                            by.answer(
-                                    new Codec.Out(FleetRecords.ANSWER)
-                                            .i64(id)
-                                            .i32(status)
-                                            .text(text)
-                                            .bytes()));
-        } else if (in.type == FleetRecords.ANSWER) {
-            var reply = Optional.ofNullable(asked.remove(in.i64()));
-            var status = in.i32();
-            var text = in.text();
-            reply.ifPresent(r -> r.accept(status, text));
-        }
+    void onClosed(SimulatedNetwork.Connection connection) {
+        remote.closed(connection, "the link closed before an answer");
+    }
+
+    void onAsk(SimulatedNetwork.Connection by, Codec.In in) {
+        var id = PendingRequests.RequestId.read(in);
+        askHere(CoreState.Change.read(in), (status, text) -> answer(by, id, status, text));
+    }
+
+    private static void answer(
+            SimulatedNetwork.Connection by, PendingRequests.RequestId id, int status, String text) {
+        var record = new Codec.Out(FleetRecords.ANSWER);
+        id.write(record);
+        by.answer(record.i32(status).text(text).bytes());
+    }
+
+    void onAnswer(SimulatedNetwork.Connection by, Codec.In in) {
+        remote.answered(PendingRequests.RequestId.read(in), by, in.i32(), in.text());
     }
 }
--- a/simulation/src/main/java/martenloom/simulation/Process.java
+++ b/simulation/src/main/java/martenloom/simulation/Process.java
@@ -10,6 +10,7 @@
 import martenloom.common.error.Fault;
 import martenloom.common.fleet.FleetRecords;
 import martenloom.core.chain.ChainCore;
+import martenloom.core.duty.DutyService;
 import martenloom.core.state.CoreState;
 import martenloom.core.storage.VersionedStore;
 
@@ -20,6 +21,7 @@
 final class Process {
     private static final long TICK_US = 50_000;
     private static final long HELLO_US = 500_000;
+    private static final long LEAVE_AGAIN_US = 200_000;
     private static final long DISK_RETRY_US = 100_000;
     private static final long API_PATIENCE_US = 850_000;
     private static final long API_PAUSE_US = 60_000;
@@ -29,11 +31,15 @@
     private final Environment environment;
     private final VersionedStore disk;
     private final ChainCore chain;
-    private final OrderForwarder handOver = new OrderForwarder(this);
+    private final OrderForwarder orders;
+    private final LeaseForwarder leases;
+    private final DutyService duties;
     private final Set<String> dials = new TreeSet<>();
     private final Deque<ChainCore.Store> stores = new ArrayDeque<>();
     private final long startedUs;
     private boolean running = true;
+    private boolean leaving;
+    private boolean leaveTaken;
     private long frozenUntilUs;
 
     Process(Machine machine, Environment environment, boolean bootstrap) {
@@ -59,6 +65,13 @@
                         kept,
                         Comparator.naturalOrder(),
                         nowUs());
+        orders = new OrderForwarder(this, environment.disks().any());
+        duties =
+                new DutyService(
+                        chain,
+                        (change, reply) -> orders.askHere(change, reply::accept),
+                        this::nowUs);
+        leases = new LeaseForwarder(this, duties);
         chain.onLeastRoster(environment.leastRoster());
         kept.ifPresent(k -> k.state.roster.forEach(this::dial));
         seeds.forEach(this::dial);
@@ -115,6 +128,8 @@
         environment.network().maintain(this, dials);
         chain.onKnown(dials);
         chain.onTick(nowUs());
+        carryOut();
+        duties.tick(nowUs());
         after(TICK_US, this::tick);
     }
 
@@ -133,37 +148,87 @@
     }
 
     void onRecord(SimulatedNetwork.Connection by, byte[] record) {
-        if (record[0] <= ChainCore.STEP) {
-            chain.onRecord(nowUs(), by.peerOf(this).address(), record);
-            return;
-        }
-        switch (record[0]) {
-            case FleetRecords.HELLO -> dial(new Codec.In(record, true).text());
-            default -> handOver.onRecord(by, record);
+        var in = new Codec.In(record, true);
+        switch (in.type) {
+            case FleetRecords.HELLO -> {
+                dial(in.text());
+                by.answer(new Codec.Out(FleetRecords.HEARD).texts(members()).bytes());
+            }
+            case FleetRecords.HEARD -> in.texts().forEach(this::dial);
+            case FleetRecords.ASK -> orders.onAsk(by, in);
+            case FleetRecords.ANSWER -> orders.onAnswer(by, in);
+            case FleetRecords.DUTY_WANT -> leases.onWant(by, in);
+            case FleetRecords.DUTY_GRANT -> leases.onGrant(by, in);
+            default -> chain.onRecord(nowUs(), by.peerOf(this).address(), record);
         }
     }
 
-    /** SIGTERM: the process ends. */
+    /** The roster and who is reached beside it. */
+    private Set<String> members() {
+        var members = new TreeSet<>(chain.committed().roster);
+        dials.stream().filter(d -> connection(d).isPresent()).forEach(members::add);
+        members.add(address());
+        return members;
+    }
+
+    void onClosed(SimulatedNetwork.Connection connection) {
+        orders.onClosed(connection);
+    }
+
+    /** A candidate that has made this member its home wants a lease. */
+    void onWish(String key, String holder, long stampUs, LeaseForwarder.Grantee grantee) {
+        leases.want(key, holder, stampUs, grantee);
+    }
+
+    // ---- leaving in order
+
+    /** SIGTERM: leaves the chain in order, and ends when the chain can do without this member. */
     void leave(Runnable end) {
-        end.run();
+        if (!leaving) {
+            leaving = true;
+            chain.onLeave(nowUs());
+            leaveStep(end);
+        }
+    }
+
+    private void leaveStep(Runnable end) {
+        if (mayEnd()) {
+            end.run();
+            return;
+        }
+        var order = new CoreState.Change(CoreState.Act.LEAVE, 0, address(), "");
+        orders.forward(order, (status, text) -> leaveTaken |= status == 200);
+        after(LEAVE_AGAIN_US, () -> leaveStep(end));
     }
 
+    private boolean mayEnd() {
+        var told = leaveTaken || chain.mode() == ChainCore.Mode.LEARNING;
+        return told && chain.released(nowUs());
+    }
+
+    // ---- orders of callers
+
     /**
      * An order of a caller, as the control API takes it: tried again for a while when there is no
      * head.
      */
     void onOrder(CoreState.Change change, Reply reply) {
-        order(change, nowUs(), reply);
+        if (leaving) {
+            reply.accept(Reply.UNAVAILABLE, "this daemon is leaving");
+            return;
+        }
+        order(chain.committed().accepted(change), nowUs(), reply);
     }
 
     private void order(CoreState.Change change, long sinceUs, Reply reply) {
-        handOver.ask(
+        orders.forward(
                 change,
                 (status, text) -> {
-                    if (status == 503 && nowUs() - sinceUs < API_PATIENCE_US) {
+                    if (status == Reply.UNAVAILABLE && nowUs() - sinceUs < API_PATIENCE_US) {
                         after(API_PAUSE_US, () -> order(change, sinceUs, reply));
                     } else {
-                        reply.accept(status, text);
+                        var unclear = status == CoreState.STALE_ORDER;
+                        reply.accept(unclear ? Reply.UNAVAILABLE : status, text);
                     }
                 });
     }
@@ -176,8 +241,9 @@
         }
     }
 
-    boolean connectedTo(String other) {
-        return environment.network().connected(this, other);
+    /** The open connection that this member has dialed to another. */
+    Optional<SimulatedNetwork.Connection> connection(String other) {
+        return environment.network().connection(this, other);
     }
 
     void send(String to, byte[] record) {
@@ -203,7 +269,7 @@
             if (answer.status() == 200) {
                 environment.invariants().acknowledged(chain.view(), address(), startedUs);
             }
-            handOver.onChainAnswer(answer);
+            orders.onChainAnswer(answer);
         } else if (command instanceof ChainCore.Committed committed) {
             environment.invariants().committed(address(), committed.state());
         }
--- a/simulation/src/main/java/martenloom/simulation/SimulatedNetwork.java
+++ b/simulation/src/main/java/martenloom/simulation/SimulatedNetwork.java
@@ -60,7 +60,8 @@
             transmit(back, record);
         }
 
-        private void send(byte[] record) {
+        /** Sends the way it was dialed. */
+        void send(byte[] record) {
             transmit(forward, record);
         }
     }
@@ -196,6 +197,7 @@
         redialUs.put(connection.forward.pair(), agenda.nowUs() + REDIAL_US);
         loseTail(connection.forward);
         connection.back.held.clear();
+        connection.dialer.whenAwake(() -> connection.dialer.onClosed(connection));
     }
 
     /** A closed connection may still deliver a part of what waits on it. */
@@ -220,11 +222,8 @@
                 .forEach(this::close);
     }
 
-    boolean connected(Process from, String to) {
-        return open(from, to).isPresent();
-    }
-
-    private Optional<Connection> open(Process from, String to) {
+    /** The open connection that a member has dialed to another. */
+    Optional<Connection> connection(Process from, String to) {
         return Optional.ofNullable(connections.get(new Pair(from.address(), to)))
                 .filter(c -> c.open && c.dialer == from);
     }
@@ -232,7 +231,7 @@
     // ---- records
 
     void send(Process from, String to, byte[] record) {
-        open(from, to).ifPresent(c -> c.send(record));
+        connection(from, to).ifPresent(c -> c.send(record));
     }
 
     private void transmit(Direction direction, byte[] record) {
--- a/simulation/src/main/java/martenloom/simulation/World.java
+++ b/simulation/src/main/java/martenloom/simulation/World.java
@@ -99,6 +99,16 @@
                             invariants.evacuations())
                     .start();
         }
+        for (var holder : List.of("10.9.0.1#1", "10.9.0.2#1", "10.9.0.3#1")) {
+            new LeaseCandidate(
+                            "scale/north",
+                            holder,
+                            agenda,
+                            Randomness.of(schedule.seed(), holder),
+                            this,
+                            invariants.leases())
+                    .start();
+        }
     }
 
     /** The core grows to all its members before the first trouble. */
@@ -244,7 +254,8 @@
 
     /** Counts a machine as lost; refuses when that is one more than is to be borne. */
     boolean loseState(String address) {
-        if (!lostState.contains(address) && lostState.size() >= tolerated()) {
+        var others = lostState.stream().filter(a -> !a.equals(address)).count();
+        if (others >= tolerated()) {
             return false;
         }
         lostState.add(address);
@@ -252,10 +263,7 @@
         return true;
     }
 
-    /**
-     * Counts a machine as lost, beyond what is to be borne too: one that leaves in order and keeps
-     * its disk.
-     */
+    /** Counts a machine as lost that leaves in order, so that no other one is lost beside it. */
     void leaveInOrder(String address) {
         lostState.add(address);
         calmSinceUs = agenda.nowUs();
