--- a/simulation/src/main/java/martenloom/simulation/Schedule.java
+++ b/simulation/src/main/java/martenloom/simulation/Schedule.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 /**
  * The troubles of one simulated day, and the seed from which everything else of that day is drawn.
@@ -11,22 +12,33 @@
 public record Schedule(long seed, int members, List<Trouble> troubles) {
     private static final int FEWEST = 3;
     private static final int MOST = 14;
+    private static final int FEWEST_KINDS = 2;
+    private static final int MOST_KINDS = 5;
     private static final long LAST_MS = 40_000;
     private static final long LONG_CUT_MS = 20_000;
 
-    /** Draws a schedule: some troubles come alone, others close upon one another. */
+    /**
+     * Draws a schedule: some troubles come alone, others close upon one another. Two days of three
+     * draw from a few kinds only, which then meet more often (swarm testing).
+     */
     public static Schedule draw(long seed, int members, List<TroubleKind> kinds) {
         var random = Randomness.of(seed, "schedule");
         var troubles = new ArrayList<Trouble>();
         var count = FEWEST + random.below(MOST - FEWEST + 1);
         var atMs = random.between(0, 3_000);
+        var some = random.oneIn(3) ? kinds : few(kinds, random);
         for (var i = 0; i < count && atMs < LAST_MS; i++) {
-            troubles.add(trouble(atMs, random, members, kinds));
+            troubles.add(trouble(atMs, random, members, some));
             atMs += random.oneIn(3) ? random.between(4_000, 14_000) : random.between(0, 1_500);
         }
         return new Schedule(seed, members, List.copyOf(troubles));
     }
 
+    private static List<TroubleKind> few(List<TroubleKind> kinds, Randomness random) {
+        var count = FEWEST_KINDS + random.below(MOST_KINDS - FEWEST_KINDS + 1);
+        return IntStream.range(0, count).mapToObj(i -> random.pick(kinds)).distinct().toList();
+    }
+
     private static Trouble trouble(
             long atMs, Randomness random, int members, List<TroubleKind> kinds) {
         var kind = random.pick(kinds);
--- a/simulation/src/main/java/martenloom/simulation/Shrinker.java
+++ b/simulation/src/main/java/martenloom/simulation/Shrinker.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Function;
 
 /**
  * Makes a schedule that breaks an invariant shorter: leaves out halves, quarters and so on down to
@@ -10,11 +11,12 @@
  */
 public final class Shrinker {
     private static final int MOST_RUNS = 200;
-    private final long mostSteps;
+    private final Function<Schedule, Day> runner;
     private int runs;
 
-    public Shrinker(long mostSteps) {
-        this.mostSteps = mostSteps;
+    /** A shrinker that runs schedules with the given function. */
+    public Shrinker(Function<Schedule, Day> runner) {
+        this.runner = runner;
     }
 
     /** The shortest failing day that was found. */
@@ -53,7 +55,7 @@
 
     private Day run(Schedule schedule, List<Trouble> kept) {
         runs++;
-        return Day.run(schedule.with(kept), mostSteps);
+        return runner.apply(schedule.with(kept));
     }
 
     private static boolean sameFault(Day a, Day b) {
--- a/simulation/src/main/java/martenloom/simulation/Simulation.java
+++ b/simulation/src/main/java/martenloom/simulation/Simulation.java
@@ -79,7 +79,7 @@
                 "day %d of seed %d with %d members breaks an invariant%n",
                 days, day.schedule().seed(), options.members);
         out.println(day.violation().get().getMessage());
-        var shrunk = new Shrinker(options.steps).shrink(day);
+        var shrunk = new Shrinker(s -> Day.run(s, options.steps)).shrink(day);
         out.printf(
                 "shrunk from %d to %d troubles:%n%s%n",
                 day.schedule().troubles().size(),
--- a/simulation/src/main/java/martenloom/simulation/World.java
+++ b/simulation/src/main/java/martenloom/simulation/World.java
@@ -18,7 +18,7 @@
      * Once it is calm for so long, a configuration must have been acknowledged, and every member
      * must be level.
      */
-    static final long CALM_BOUND_US = 10_000_000;
+    static final long CALM_BOUND_US = 6_000_000;
 
     /**
      * A machine that lost its state counts as lost until it was calm for so long after its return.
--- /dev/null
+++ b/simulation/src/test/java/martenloom/simulation/HistoriesTest.java
@@ -0,0 +1,108 @@
+package martenloom.simulation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import martenloom.core.state.CoreState;
+import martenloom.core.state.CoreState.Act;
+import martenloom.core.state.CoreState.Change;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.function.Executable;
+
+/** The histories of calls let through what must be, and name what must not. */
+final class HistoriesTest {
+    private static final String ZONE = "north-1";
+    private final ConfigurationHistory configurations = new ConfigurationHistory();
+    private final EvacuationHistory evacuations = new EvacuationHistory();
+    private final LeaseHistory leases = new LeaseHistory();
+    private CoreState state = CoreState.founded(List.of("a"));
+
+    private static void breaks(Invariant invariant, Executable step) {
+        assertEquals(invariant, assertThrows(Violation.class, step).invariant());
+    }
+
+    private static ConfigurationHistory.Order order(long base, String note) {
+        var revision = base + 1;
+        var body =
+                "{\"Revision\":"
+                        + revision
+                        + ",\"Routes\":[],\"Backends\":[],\"Note\":\""
+                        + note
+                        + "\"}";
+        return new ConfigurationHistory.Order(base, revision, body);
+    }
+
+    private void commit(Change change) {
+        state = state.decide(state.accepted(change)).next.orElseThrow();
+    }
+
+    private void commit(ConfigurationHistory.Order order) {
+        commit(new Change(Act.REPLACE, order.base(), "", order.body()));
+        configurations.onCommitted(state);
+    }
+
+    @Test
+    void aReadBelowTheFloorIsNotLinearizable() {
+        var first = order(0, "a");
+        var second = order(1, "b");
+        configurations.onSent(first);
+        configurations.onSent(second);
+        commit(first);
+        configurations.onAcknowledged(first);
+        commit(second);
+        assertEquals(1, configurations.onRead(200, first.body(), 1), "the second is not known yet");
+        configurations.onAcknowledged(second);
+        breaks(Invariant.LINEARIZABLE, () -> configurations.onRead(200, first.body(), 2));
+        breaks(Invariant.LINEARIZABLE, () -> configurations.onRead(404, "", 2));
+        breaks(Invariant.OWN_ANSWER, () -> configurations.onRead(200, "{}", 2));
+    }
+
+    @Test
+    void whatWasTakenIsNotRefusedAndWhatWasNotIsNotAcknowledged() {
+        var taken = order(0, "a");
+        var loser = order(0, "b");
+        configurations.onSent(taken);
+        configurations.onSent(loser);
+        commit(taken);
+        breaks(Invariant.OWN_ANSWER, () -> configurations.onAcknowledged(loser));
+        configurations.onRefused(loser, 412, "revision 1 is in place", 0);
+        breaks(
+                Invariant.REPEATABLE_ORDER,
+                () -> configurations.onRefused(taken, 412, "revision 1 is in place", 0));
+        breaks(
+                Invariant.LINEARIZABLE,
+                () -> configurations.onRefused(loser, 412, "revision 1 is in place", 2));
+    }
+
+    @Test
+    void aCopyThatUndoesAnAcknowledgedOrderIsNamed() {
+        evacuations.onSent(ZONE, true);
+        commit(new Change(Act.EVAC_START, 0, ZONE, ""));
+        evacuations.onCommitted(state);
+        evacuations.onAcknowledged(ZONE, true);
+        evacuations.onSent(ZONE, false);
+        commit(new Change(Act.EVAC_FINISH, 0, ZONE, ""));
+        evacuations.onCommitted(state);
+        evacuations.onAcknowledged(ZONE, false);
+        commit(new Change(Act.EVAC_START, 0, ZONE, ""));
+        breaks(Invariant.NO_STALE_ORDER, () -> evacuations.onCommitted(state));
+    }
+
+    @Test
+    void twoHoldersAtOnceAndARaisedGrantAreNamed() {
+        leases.onGranted("k", "x", 1, 0, 10);
+        leases.onGranted("k", "x", 1, 1_000_000, 1_000_010);
+        breaks(Invariant.FENCED_LEASE, () -> leases.onGranted("k", "y", 2, 2_000_000, 2_000_010));
+        leases.onGranted("k", "y", 2, 4_000_000, 4_000_010);
+        var before = state;
+        commit(new Change(Act.DUTY, 0, "k", "x"));
+        leases.onNext(before, state);
+        breaks(Invariant.FENCED_LEASE, () -> leases.onNext(CoreState.founded(List.of()), twice()));
+    }
+
+    private CoreState twice() {
+        commit(new Change(Act.DUTY, 1, "k", "y"));
+        return state;
+    }
+}
