--- a/simulation/src/main/java/martenloom/simulation/Troubles.java
+++ b/simulation/src/main/java/martenloom/simulation/Troubles.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Function;
 
 /** Brings the troubles of a schedule about, and ends them. */
 final class Troubles {
@@ -13,6 +14,8 @@
     private static final long SETTLED_US = 1_000_000;
     private static final long BETWEEN_REPLACEMENTS_US = 6_000_000;
     private static final long GRACE_US = 8_000_000;
+    private static final int APART_STEPS = 5;
+    private static final long APART_US = 1_000_000;
     private static final int STORM_LEAST = 20;
     private static final int STORM_SPREAD = 80;
 
@@ -129,25 +132,35 @@
                 .ifPresent(m -> m.start(world, false));
     }
 
+    /** Hits all machines at once; they come back together or, for odd choices, seconds apart. */
     private boolean all(long downUs, Loss loss, int choice) {
-        var apartUs = choice % 2 == 0 ? 0 : choice;
+        return hit(world.slots(), downUs, choice, address -> loss);
+    }
+
+    private boolean hit(
+            List<String> addresses, long downUs, int choice, Function<String, Loss> losses) {
         var done = false;
-        for (var i = 0; i < world.slots().size(); i++) {
-            done |= kill(world.slots().get(i), downUs + i * (long) apartUs, loss);
+        for (var i = 0; i < addresses.size(); i++) {
+            var laterUs = choice % 2 == 0 ? 0 : (choice >> i) % APART_STEPS * APART_US;
+            var address = addresses.get(i);
+            done |= kill(address, downUs + laterUs, losses.apply(address));
         }
         return done;
     }
 
+    /** The closing fault: disks are lost, or their newest files torn, as all others lose power. */
     private boolean wipeAndPowerLoss(Trouble trouble, long downUs) {
-        var wiped = new HashSet<String>();
+        var lost = new HashSet<String>();
         for (var i = 0; i < world.tolerated(); i++) {
             var address = world.slots().get((trouble.slot() + i) % world.slots().size());
             if (world.loseState(address)) {
-                wiped.add(address);
+                lost.add(address);
             }
         }
-        world.slots().forEach(a -> kill(a, downUs, wiped.contains(a) ? Loss.DISK : Loss.UNSYNCED));
-        return !wiped.isEmpty();
+        var worst = trouble.choice() % 3 == 0 ? Loss.NEWEST_FILE : Loss.DISK;
+        Function<String, Loss> losses = a -> lost.contains(a) ? worst : Loss.UNSYNCED;
+        hit(world.slots(), downUs, trouble.choice(), losses);
+        return !lost.isEmpty();
     }
 
     private boolean stall(String address, long us) {
