--- a/core/src/main/java/martenloom/core/CoreDaemon.java
+++ b/core/src/main/java/martenloom/core/CoreDaemon.java
@@ -59,6 +59,14 @@
     private static final int QUIET_TURNS = 5;
     private static final long WANT_US = 350_000;
 
+    /** Without word of a majority for this long, a member may be cut off from the others. */
+    private static final long CONTACT_US = 1_200_000;
+
+    /**
+     * An edge renews every 0.4 s; three renewals missed mean that it does not rely on this daemon.
+     */
+    private static final long RELIED_US = 1_200_000;
+
     /**
      * Edges use even shares up to as many edges as sends; homes lend only when there are clearly
      * more, so that no two ways add up.
@@ -168,6 +176,7 @@
                         loop,
                         settings,
                         registry,
+                        this::acceptsHeartbeats,
                         this::handOver,
                         this::flood,
                         () -> table(chain.committed()),
@@ -197,6 +206,18 @@
         dials.values().forEach(PeerLinks.Dial::stop);
     }
 
+    /**
+     * Whether a heartbeat taken here reaches anybody: this member is in contact with a majority, or
+     * an edge relies on it. A member that is cut off from all of them refuses, so that its replicas
+     * report to another daemon before they are taken for silent there; in a zone that is cut off as
+     * a whole, the edges of the zone still need what is taken here.
+     */
+    private boolean acceptsHeartbeats() {
+        var now = Clocks.nowUs();
+        return chain.staleUs(now) < CONTACT_US
+                || homes.values().stream().anyMatch(l -> now - l.heardUs < RELIED_US);
+    }
+
     private void dial(String ip) {
         if (ip.equals(settings.ip) || dials.containsKey(ip)) {
             return;
--- a/core/src/main/java/martenloom/core/api/ControlApi.java
+++ b/core/src/main/java/martenloom/core/api/ControlApi.java
@@ -17,6 +17,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import martenloom.common.clock.Clocks;
@@ -51,6 +52,7 @@
     private final Eventloop loop;
     private final Settings settings;
     private final Registry registry;
+    private final BooleanSupplier acceptsHeartbeats;
     private final OrderForwarder chain;
     private final Runnable flood;
     private final Supplier<RouteTable> table;
@@ -60,6 +62,7 @@
             Eventloop loop,
             Settings settings,
             Registry registry,
+            BooleanSupplier acceptsHeartbeats,
             OrderForwarder chain,
             Runnable flood,
             Supplier<RouteTable> table,
@@ -67,6 +70,7 @@
         this.loop = loop;
         this.settings = settings;
         this.registry = registry;
+        this.acceptsHeartbeats = acceptsHeartbeats;
         this.chain = chain;
         this.flood = flood;
         this.table = table;
@@ -294,6 +298,9 @@
     // ---- replicas
 
     private HttpResponse beat(String id, String text) {
+        if (!acceptsHeartbeats.getAsBoolean()) {
+            return outOfContact();
+        }
         try {
             var now = Clocks.nowUs();
             var c = Configurations.body(text);
@@ -327,7 +334,15 @@
         }
     }
 
+    /** Nothing that is taken here would reach an edge: the replica goes on to another daemon. */
+    private HttpResponse outOfContact() {
+        return plain(503, "no contact with a majority of the core at " + settings.ip);
+    }
+
     private HttpResponse deregister(String id) {
+        if (!acceptsHeartbeats.getAsBoolean()) {
+            return outOfContact();
+        }
         registry.replica(URLDecoder.decode(id, StandardCharsets.UTF_8))
                 .ifPresent(
                         r -> {
--- a/edge/src/main/java/martenloom/edge/EdgeDaemon.java
+++ b/edge/src/main/java/martenloom/edge/EdgeDaemon.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import martenloom.autoscaler.ScaleSettings;
@@ -56,6 +57,10 @@
     private static final long SCALE_US = 200_000;
     private static final long STALE_US = 1_200_000;
     private static final long SILENCE_US = 1_400_000;
+    private static final long REACH_US = 700_000;
+    private static final long AVOID_US = 3_000_000;
+    private static final long SETTLE_US = 800_000;
+    private static final long RETURN_US = 6_000_000;
 
     private final Settings settings;
     private final Eventloop loop;
@@ -75,6 +80,15 @@
     private final Map<String, Duty> duties = new TreeMap<>();
     private Optional<PeerLinks.Dial> home = Optional.empty();
     private String homeIp = "";
+
+    /**
+     * A daemon that is asked whether it would be a better home; the present one is kept until it
+     * says so.
+     */
+    private Optional<PeerLinks.Dial> candidate = Optional.empty();
+
+    private String candidateIp = "";
+    private long candidateSinceUs;
     private long homeSinceUs;
     private long homePickedUs;
     private long seq;
@@ -221,15 +235,37 @@
 
     // ---- the home
 
-    private void pickHome() {
-        var now = Clocks.nowUs();
+    /** The core daemons in the order in which this edge would take them as its home. */
+    private List<String> homesByPreference(long now) {
         settings.seeds.forEach(s -> cores.add(s.substring(0, s.lastIndexOf(':'))));
         var l = new ArrayList<>(cores);
-        var net = settings.ip.substring(0, settings.ip.lastIndexOf('.') + 1);
         l.sort(
-                Comparator.<String>comparingLong(c -> avoid.getOrDefault(c, 0L) > now ? 1 : 0)
-                        .thenComparing(c -> !c.startsWith(net))
+                Comparator.<String>comparingInt(c -> avoided(c, now) ? 1 : 0)
+                        .thenComparing(c -> !inOwnZone(c))
                         .thenComparingInt(c -> (c + settings.ip).hashCode()));
+        return l;
+    }
+
+    private boolean avoided(String ip, long now) {
+        return avoid.getOrDefault(ip, 0L) > now;
+    }
+
+    private boolean inOwnZone(String ip) {
+        return ip.startsWith(settings.ip.substring(0, settings.ip.lastIndexOf('.') + 1));
+    }
+
+    private PeerLinks.Dial dial(String ip) {
+        return new PeerLinks.Dial(
+                loop,
+                Settings.address("home", ip + ":" + settings.portLow),
+                150_000,
+                x -> x.send(renewal()),
+                this);
+    }
+
+    private void pickHome() {
+        var now = Clocks.nowUs();
+        var l = homesByPreference(now);
         if (l.isEmpty()) {
             return;
         }
@@ -237,25 +273,67 @@
         homeSinceUs = now;
         homePickedUs = now;
         synced = false;
-        home =
-                Optional.of(
-                        new PeerLinks.Dial(
-                                loop,
-                                Settings.address("home", homeIp + ":" + settings.portLow),
-                                150_000,
-                                x -> {
-                                    x.send(renewal());
-                                },
-                                this));
+        home = Optional.of(dial(homeIp));
     }
 
     private void leaveHome(String why) {
         RingLog.note("home " + homeIp + " is left: " + why);
-        avoid.put(homeIp, Clocks.nowUs() + 3_000_000);
+        avoid.put(homeIp, Clocks.nowUs() + AVOID_US);
+        dropCandidate();
         home.ifPresent(PeerLinks.Dial::stop);
         pickHome();
     }
 
+    // ---- a better home: asked first, then taken
+
+    /** Asks the next daemon that may be a better home, one at a time. */
+    private void seekHome(Predicate<String> which, long now) {
+        if (candidate.isPresent()) {
+            return;
+        }
+        homesByPreference(now).stream()
+                .filter(c -> !c.equals(homeIp) && !avoided(c, now) && which.test(c))
+                .findFirst()
+                .ifPresent(
+                        c -> {
+                            candidateIp = c;
+                            candidateSinceUs = now;
+                            candidate = Optional.of(dial(c));
+                        });
+    }
+
+    private void dropCandidate() {
+        candidate.ifPresent(PeerLinks.Dial::stop);
+        candidate = Optional.empty();
+    }
+
+    private void passOverCandidate(String why) {
+        RingLog.note("home " + homeIp + " is kept: " + candidateIp + " is " + why);
+        avoid.put(candidateIp, Clocks.nowUs() + AVOID_US);
+        dropCandidate();
+    }
+
+    private boolean isCandidate(PeerLinks.Link l) {
+        return candidate.flatMap(PeerLinks.Dial::link).filter(x -> x == l).isPresent();
+    }
+
+    /**
+     * The candidate is in contact with a majority: it is the home from now on, and its whole state
+     * is asked for.
+     */
+    private void takeCandidate() {
+        RingLog.note("home " + homeIp + " is left for " + candidateIp);
+        avoid.put(homeIp, Clocks.nowUs() + AVOID_US);
+        var old = home;
+        home = candidate;
+        homeIp = candidateIp;
+        homePickedUs = Clocks.nowUs();
+        homeSinceUs = homePickedUs;
+        candidate = Optional.empty();
+        old.ifPresent(PeerLinks.Dial::stop);
+        home.ifPresent(d -> d.send(new Codec.Out(FleetRecords.RESYNC).bytes()));
+    }
+
     private byte[] renewal() {
         var now = Clocks.nowUs();
         var e = new FleetRecords.Edge();
@@ -377,6 +455,9 @@
 
     private void renew() {
         var now = Clocks.nowUs();
+        if (candidate.isPresent() && now - candidateSinceUs > REACH_US) {
+            passOverCandidate("not reached");
+        }
         var l = home.flatMap(PeerLinks.Dial::link);
         if (l.isPresent()) {
             if (now - l.get().heardUs > SILENCE_US) {
@@ -384,24 +465,26 @@
                 return;
             }
             l.get().send(renewal());
-            var net = settings.ip.substring(0, settings.ip.lastIndexOf('.') + 1);
-            if (!homeIp.startsWith(net)
-                    && now - homePickedUs > 6_000_000
-                    && cores.stream()
-                            .anyMatch(c -> c.startsWith(net) && avoid.getOrDefault(c, 0L) < now)) {
-                home.ifPresent(PeerLinks.Dial::stop);
-                pickHome();
+            if (!inOwnZone(homeIp) && now - homePickedUs > RETURN_US) {
+                seekHome(this::inOwnZone, now);
             }
-        } else if (now - homeSinceUs > 700_000) {
+        } else if (now - homeSinceUs > REACH_US) {
             leaveHome("not reached");
         }
     }
 
-    private void onNews(Codec.In in) {
+    private void onNews(PeerLinks.Link l, Codec.In in) {
         var now = Clocks.nowUs();
         var stamp = in.i64();
         var up = in.i64();
         var stale = in.i64();
+        if (isCandidate(l)) {
+            if (stale >= STALE_US) {
+                passOverCandidate("stale by " + stale / 1000 + " ms");
+                return;
+            }
+            takeCandidate();
+        }
         var ed = in.i64();
         var digest = in.i32();
         most = Math.max(most, in.i32());
@@ -422,9 +505,8 @@
             if (firstNewsUs == 0 && edition > 0) {
                 firstNewsUs = now;
             }
-        } else if (now - homePickedUs > 800_000 && cores.size() > 1) {
-            leaveHome("stale by " + stale / 1000 + " ms");
-            return;
+        } else if (now - homePickedUs > SETTLE_US) {
+            seekHome(c -> true, now);
         }
         becomeReady(now, up);
     }
@@ -557,13 +639,16 @@
     @Override
     public void onRecord(PeerLinks.Link l, byte[] record) {
         var in = new Codec.In(record, true);
+        if (isCandidate(l) && in.type != FleetRecords.NEWS) {
+            return;
+        }
         switch (in.type) {
             case FleetRecords.HELLO -> {
                 l.peer = in.text();
                 l.send(new Codec.Out(FleetRecords.HEARD).bytes());
             }
             case FleetRecords.HEARD -> {}
-            case FleetRecords.NEWS -> onNews(in);
+            case FleetRecords.NEWS -> onNews(l, in);
             case FleetRecords.CONFIGURATION -> onConfiguration(in);
             case FleetRecords.REPLICAS -> onReplicas(in);
             case FleetRecords.DUTY_GRANT -> onGrant(in);
--- a/launcher/src/test/java/martenloom/launcher/harness/TestCluster.java
+++ b/launcher/src/test/java/martenloom/launcher/harness/TestCluster.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import martenloom.autoscaler.ScaleSettings;
@@ -37,6 +38,7 @@
  */
 public final class TestCluster implements Closeable {
     private static final int PORT = PortBlock.port(17720);
+    private static final int CUT_OFF_PORT = PortBlock.port(17820);
     private static final int CONTROL = PortBlock.port(18166);
     private static final int FRONT = PortBlock.port(18161);
     public static final int READY = PortBlock.port(18167);
@@ -173,6 +175,10 @@
     }
 
     private Settings settings(String ip, int i, String role, boolean bootstrap) {
+        return settings(ip, i, role, bootstrap, PORT);
+    }
+
+    private Settings settings(String ip, int i, String role, boolean bootstrap, int port) {
         var zone = ZONES.get(i % 3);
         var l =
                 role.equals("core")
@@ -198,9 +204,9 @@
                         + zone.split("-")[0]
                         + "\"\n"
                         + "InternalPortRange = ["
-                        + PORT
+                        + port
                         + ","
-                        + (PORT + 10)
+                        + (port + 10)
                         + "]\nSeedNodes = ["
                         + seeds.stream().map(s -> '"' + s + '"').collect(Collectors.joining(","))
                         + "]\n"
@@ -234,6 +240,15 @@
         run(core(i), loop -> new CoreDaemon(p, loop, folder(i, p.dataDir)).start());
     }
 
+    /**
+     * Starts a core daemon that is cut off from every other daemon, both ways, because its internal
+     * port is not theirs; replicas and the operator still reach it.
+     */
+    public void startCoreCutOff(int i) {
+        var p = settings(core(i), i, "core", false, CUT_OFF_PORT);
+        run(core(i), loop -> new CoreDaemon(p, loop, folder(i, p.dataDir)).start());
+    }
+
     public EdgeDaemon startEdge(int i) {
         var p = settings(edge(i), i, "edge", false);
         var up = new CompletableFuture<EdgeDaemon>();
@@ -419,9 +434,13 @@
 
     /** Asks until the answer shows what is looked for; gives up after many asks. */
     public String askUntil(String ip, String query, String sought) {
+        return askUntil(ip, query, a -> a.contains(sought));
+    }
+
+    public String askUntil(String ip, String query, Predicate<String> sought) {
         var end = System.nanoTime() + 25_000_000_000L;
         var a = ask(ip, query);
-        while (!a.contains(sought) && System.nanoTime() < end) {
+        while (!sought.test(a) && System.nanoTime() < end) {
             a = ask(ip, query);
         }
         return a;
