--- a/edge/src/main/java/martenloom/edge/EdgeDaemon.java
+++ b/edge/src/main/java/martenloom/edge/EdgeDaemon.java
@@ -57,9 +57,18 @@
     private static final long SCALE_US = 200_000;
     private static final long STALE_US = 1_200_000;
     private static final long SILENCE_US = 1_400_000;
+    private static final long REDIAL_US = 150_000;
+
+    /** How long a daemon may take to answer before another is tried. */
     private static final long REACH_US = 700_000;
+
+    /** How long a daemon that was no good as a home is passed over. */
     private static final long AVOID_US = 3_000_000;
+
+    /** How long a new home may be stale before a better one is sought. */
     private static final long SETTLE_US = 800_000;
+
+    /** How long a home outside the own zone is kept before one in the zone is asked. */
     private static final long RETURN_US = 6_000_000;
 
     private final Settings settings;
@@ -258,7 +267,7 @@
         return new PeerLinks.Dial(
                 loop,
                 Settings.address("home", ip + ":" + settings.portLow),
-                150_000,
+                REDIAL_US,
                 x -> x.send(renewal()),
                 this);
     }
