--- a/common/src/main/java/martenloom/common/link/PeerLinks.java
+++ b/common/src/main/java/martenloom/common/link/PeerLinks.java
@@ -48,6 +48,10 @@
         private final LinkTraffic traffic = LinkTraffic.mine();
         private boolean open = true;
         public long heardUs = Clocks.nowUs();
+
+        /** How long the records that carry their time of sending were under way. */
+        public final TransitDelay delay = new TransitDelay();
+
         public Object tag = "";
         public String peer;
 
--- a/core/src/main/java/martenloom/core/CoreDaemon.java
+++ b/core/src/main/java/martenloom/core/CoreDaemon.java
@@ -27,6 +27,7 @@
 import martenloom.common.jobs.Job;
 import martenloom.common.link.LinkTraffic;
 import martenloom.common.link.PeerLinks;
+import martenloom.common.link.PendingRequests;
 import martenloom.common.load.LoadSummary;
 import martenloom.common.log.RingLog;
 import martenloom.common.settings.Settings;
@@ -54,6 +55,7 @@
     private static final long DIGEST_US = 500_000;
     private static final long ASK_US = 2_500_000;
     private static final long SILENCE_US = 2_000_000;
+    private static final long IN_TOUCH_US = 1_500_000;
     private static final long SUM_US = 100_000;
     private static final int FAR_TURNS = 5;
     private static final int QUIET_TURNS = 5;
@@ -74,8 +76,9 @@
     private final PlacementService placement;
     private final Map<String, PeerLinks.Dial> dials = new TreeMap<>();
     private final Map<String, PeerLinks.Link> homes = new LinkedHashMap<>();
-    private final Map<Long, BiConsumer<Integer, String>> asked = new HashMap<>();
-    private final Map<Long, Runnable> remote = new HashMap<>();
+    private final Map<Long, BiConsumer<Integer, String>> localRequests = new HashMap<>();
+    private final PendingRequests<PeerLinks.Link> headRequests =
+            new PendingRequests<>(new SecureRandom().nextLong());
     private final long startUs = Clocks.nowUs();
     private final boolean restored;
     private int memoDigest;
@@ -87,7 +90,7 @@
     private long sums;
     private final Map<String, Long> wanted = new HashMap<>();
     private final Map<String, Long> routesSent = new HashMap<>();
-    private long requests;
+    private long localNumber;
     private int turn;
 
     public CoreDaemon(Settings p, Eventloop loop, VersionedStore.Folder folder) {
@@ -171,7 +174,9 @@
                         this::handOver,
                         this::flood,
                         () -> table(chain.committed()),
-                        this::outside);
+                        chain::committed,
+                        this::outside,
+                        this::inTouch);
         var at = new LinkedHashSet<InetSocketAddress>();
         at.add(Settings.address("ControlPlane", settings.need("ControlPlane")));
         if (settings.listen.containsKey("Directory")) {
@@ -202,20 +207,7 @@
             return;
         }
         var to = Settings.address("peer", ip + ":" + settings.portLow);
-        dials.put(
-                ip,
-                new PeerLinks.Dial(
-                        loop,
-                        to,
-                        200_000,
-                        l ->
-                                l.send(
-                                        new Codec.Out(FleetRecords.HELLO)
-                                                .text(settings.ip)
-                                                .text(settings.region)
-                                                .i32(mostEdges)
-                                                .bytes()),
-                        this));
+        dials.put(ip, new PeerLinks.Dial(loop, to, 200_000, l -> l.send(hello()), this));
     }
 
     // ---- time
@@ -229,28 +221,20 @@
         jobClock(now);
         carryOut();
         registry.sweep(now);
-        var ch = registry.pollChanged();
-        if (!ch.isEmpty()) {
-            var b = registry.rows(ch, false, now);
-            toHomes((ip, l) -> l.send(b));
-        }
+        tellChanged(now);
         dials.values().forEach(d -> d.check(SILENCE_US));
     }
 
     private void flood() {
         var now = Clocks.nowUs();
         registry.pollFlood(now).ifPresent(b -> dials.values().forEach(d -> d.send(b)));
-        var ch = registry.pollChanged();
-        if (!ch.isEmpty()) {
-            var b = registry.rows(ch, false, now);
-            toHomes((ip, l) -> l.send(b));
-        }
+        tellChanged(now);
     }
 
     private void mend() {
         mostEdges = Math.max(mostEdges, registry.members(Clocks.nowUs()).size());
         mostHomes = Math.max(mostHomes, homesHere());
-        var dg = (registry.edgeDigest() * 31 + mostEdges) * 31 + mostHomes;
+        var dg = (registry.noteDigest() * 31 + mostEdges) * 31 + mostHomes;
         if (dg != memoDigest) {
             memoDigest = dg;
             store.noteLater(MEMO, registry.memo(mostEdges, mostHomes, Clocks.nowUs()));
@@ -263,15 +247,20 @@
             up.get(turn++ % up.size()).send(b);
         }
         seedIps().forEach(this::dial);
-        var beat =
-                new Codec.Out(FleetRecords.HELLO)
-                        .text(settings.ip)
-                        .text(settings.region)
-                        .i32(mostEdges)
-                        .bytes();
+        var beat = hello();
         dials.values().forEach(d -> d.send(beat));
     }
 
+    /** Makes us known on a link, at its start and then as a sign of life. */
+    private byte[] hello() {
+        return new Codec.Out(FleetRecords.HELLO)
+                .text(settings.ip)
+                .text(settings.region)
+                .i32(mostEdges)
+                .i64(Clocks.nowUs())
+                .bytes();
+    }
+
     /** How many core daemons of our region have made themselves known, ourselves with them. */
     private int homesHere() {
         return 1
@@ -370,6 +359,14 @@
      * it to their edges only.
      */
     private void onReport(PeerLinks.Link l, byte[] record) {
+        var in = new Codec.In(record, true);
+        var duty = in.text() + "/" + in.text();
+        var reporter = in.text();
+        if (chain.committed().overtaken(duty, in.i64())) {
+            RingLog.note(
+                    "a report of " + reporter + " under an older grant of " + duty + " is dropped");
+            return;
+        }
         if (l.tag instanceof String ip && homes.get(ip) == l) {
             dials.values().forEach(d -> d.send(record));
         }
@@ -401,7 +398,7 @@
                         loop.completeExternalTask();
                     });
         } else if (c instanceof ChainCore.Answer a) {
-            Optional.ofNullable(asked.remove(a.request()))
+            Optional.ofNullable(localRequests.remove(a.request()))
                     .ifPresent(r -> r.accept(a.status(), a.text()));
         } else if (c instanceof ChainCore.Committed m) {
             RingLog.note(
@@ -453,41 +450,43 @@
     // ---- requests to the chain
 
     private void askHere(CoreState.Change c, BiConsumer<Integer, String> reply) {
-        var id = ++requests;
-        asked.put(id, reply);
+        var id = ++localNumber;
+        localRequests.put(id, reply);
         chain.onAsk(Clocks.nowUs(), id, c);
         loop.post(this::carryOut);
     }
 
+    /** Whether this daemon knew of a majority that held together a moment ago. */
+    private boolean inTouch() {
+        return chain.staleUs(Clocks.nowUs()) <= IN_TOUCH_US;
+    }
+
     private void handOver(CoreState.Change c, BiConsumer<Integer, String> reply) {
         if (chain.heading()) {
             askHere(c, reply);
             return;
         }
-        var d = Optional.ofNullable(dials.get(chain.head())).filter(x -> x.link().isPresent());
-        if (d.isEmpty() || chain.staleUs(Clocks.nowUs()) > 1_500_000) {
+        var link = Optional.ofNullable(dials.get(chain.head())).flatMap(PeerLinks.Dial::link);
+        if (link.isEmpty() || !inTouch()) {
             reply.accept(503, "no head is known at " + settings.ip);
             return;
         }
-        var id = ++requests;
-        asked.put(id, reply);
-        var o = new Codec.Out(FleetRecords.ASK).i64(id);
+        var head = link.get();
+        var id = headRequests.open(head, reply);
+        var o = new Codec.Out(FleetRecords.ASK);
+        id.write(o);
         c.write(o);
-        d.get().send(o.bytes());
+        head.send(o.bytes());
         Clocks.after(
-                loop,
-                ASK_US,
-                () ->
-                        Optional.ofNullable(asked.remove(id))
-                                .ifPresent(
-                                        r ->
-                                                r.accept(
-                                                        503,
-                                                        "no reply from the head " + chain.head())));
+                loop, ASK_US, () -> headRequests.expire(id, "no reply from the head " + head.peer));
     }
 
-    private void answerPeer(PeerLinks.Link l, long id, int s, String t) {
-        l.send(new Codec.Out(FleetRecords.ANSWER).i64(id).i32(s).text(t).bytes());
+    /** Answers a request on the link on which it came, under the id that its sender gave it. */
+    private static void answer(
+            PeerLinks.Link l, PendingRequests.RequestId id, int status, String text) {
+        var o = new Codec.Out(FleetRecords.ANSWER);
+        id.write(o);
+        l.send(o.i32(status).text(text).bytes());
     }
 
     // ---- records
@@ -506,11 +505,12 @@
                 l.peer = in.text();
                 regions.put(l.peer, in.text());
                 mostEdges = Math.max(mostEdges, in.i32());
+                l.delay.measure(in.i64(), Clocks.nowUs());
                 l.send(new Codec.Out(FleetRecords.HEARD).bytes());
                 dial(l.peer);
             }
             case FleetRecords.HEARD -> {}
-            case FleetRecords.FLOOD -> registry.takeFlood(in, Clocks.nowUs());
+            case FleetRecords.FLOOD -> onFlood(l, in);
             case FleetRecords.DIGEST ->
                     registry.mend(in, Clocks.nowUs())
                             .ifPresent(
@@ -518,14 +518,14 @@
                                             Optional.ofNullable(dials.get(l.peer))
                                                     .ifPresent(d -> d.send(b)));
             case FleetRecords.ASK -> {
-                var id = in.i64();
-                askHere(CoreState.Change.read(in), (s, x) -> answerPeer(l, id, s, x));
+                var id = PendingRequests.RequestId.read(in);
+                askHere(CoreState.Change.read(in), (s, x) -> answer(l, id, s, x));
             }
             case FleetRecords.ANSWER -> {
-                var r = Optional.ofNullable(asked.remove(in.i64()));
-                var s = in.i32();
-                var x = in.text();
-                r.ifPresent(f -> f.accept(s, x));
+                if (!headRequests.answered(
+                        PendingRequests.RequestId.read(in), l, in.i32(), in.text())) {
+                    RingLog.note("link " + l.peer + ": an answer to no request of ours is dropped");
+                }
             }
             case FleetRecords.RENEW -> renew(l, in);
             case FleetRecords.SAMPLE -> onSample(in);
@@ -537,18 +537,38 @@
             }
             case FleetRecords.EDGE_ASK -> edgeAsk(l, in);
             case FleetRecords.DUTY_WANT -> duties.want(in.text(), in.text(), in.i64(), l);
-            case FleetRecords.DUTY_GRANT -> passGrant(record, in);
+            case FleetRecords.DUTY_GRANT -> passGrant(l, record, in);
             case FleetRecords.QUERY ->
                     l.send(new Codec.Out(FleetRecords.TEXT).text(query(in.text())).bytes());
             default -> RingLog.note("link " + l.peer + ": unknown record " + t);
         }
     }
 
+    /**
+     * Rows from another daemon, as old as their sender says and for as long as they were under way.
+     * Ends are told on at once.
+     */
+    private void onFlood(PeerLinks.Link l, Codec.In in) {
+        var now = Clocks.nowUs();
+        registry.takeFlood(in, now - l.delay.measure(in.i64(), now));
+        if (registry.endsChanged()) {
+            tellChanged(now);
+        }
+    }
+
+    private void tellChanged(long now) {
+        var changed = registry.pollChanged();
+        if (!changed.isEmpty()) {
+            var rows = registry.rows(changed, false, now);
+            toHomes((ip, l) -> l.send(rows));
+        }
+    }
+
     private void renew(PeerLinks.Link l, Codec.In in) {
         var now = Clocks.nowUs();
         var e = FleetRecords.Edge.read(in, now);
-        e.heardUs = now;
         var stamp = in.i64();
+        e.heardUs = now - l.delay.measure(stamp, now);
         var holder = in.text();
         var wants = in.texts();
         var cold = in.texts();
@@ -636,6 +656,7 @@
                                         o.text(j.id)
                                                 .flag(j.state == Job.State.RUNNING)
                                                 .i64(j.fence)
+                                                .i32(j.runs)
                                                 .i64(j.dueUs - at)
                                                 .i64(j.dueUs - j.submittedUs)
                                                 .text(j.prefix())
@@ -682,16 +703,17 @@
     }
 
     private void edgeAsk(PeerLinks.Link l, Codec.In in) {
-        var id = in.i64();
+        var id = PendingRequests.RequestId.read(in);
         var act = CoreState.Act.valueOf(in.text());
-        var c = new CoreState.Change(act, 0, in.text(), "");
+        var subject = in.text();
         var fence = in.i64();
-        var full = new CoreState.Change(act, fence, c.subject, in.text());
+        var version = in.i64();
+        var c = new CoreState.Change(act, fence, subject, in.text()).versioned(version);
         if (!act.ofRunner()) {
-            answerPeer(l, id, 400, "not for an edge");
+            answer(l, id, 400, "not for an edge");
             return;
         }
-        handOver(full, (s, t) -> answerPeer(l, id, s, t));
+        handOver(c, (s, t) -> answer(l, id, s, t));
     }
 
     private Collection<String> cores() {
@@ -738,12 +760,26 @@
         return i < 0 ? holder : holder.substring(0, i);
     }
 
-    private void passGrant(byte[] record, Codec.In in) {
-        Optional.ofNullable(homes.get(ipOf(in.text()))).ifPresent(l -> l.send(record));
+    /**
+     * A grant counts from the head of the moment, on our link to it, and not when a newer one is
+     * known here.
+     */
+    private void passGrant(PeerLinks.Link from, byte[] record, Codec.In in) {
+        var holder = in.text();
+        var key = in.text();
+        var ofHead =
+                Optional.ofNullable(dials.get(chain.head()))
+                        .flatMap(PeerLinks.Dial::link)
+                        .filter(h -> h == from)
+                        .isPresent();
+        if (ofHead && !chain.committed().overtaken(key, in.i64())) {
+            Optional.ofNullable(homes.get(ipOf(holder))).ifPresent(l -> l.send(record));
+        }
     }
 
     @Override
     public void onClosed(PeerLinks.Link l) {
+        headRequests.closed(l, "the link to " + l.peer + " closed before an answer");
         if (l.tag instanceof String ip && homes.get(ip) == l) {
             homes.remove(ip);
             routesSent.remove(ip);
--- a/core/src/main/java/martenloom/core/api/ControlApi.java
+++ b/core/src/main/java/martenloom/core/api/ControlApi.java
@@ -17,6 +17,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import martenloom.common.clock.Clocks;
@@ -41,6 +42,7 @@
     private static final HttpHeader RETRY = HttpHeaders.of("Retry-After");
     private static final int MOST_ADDRESSES = 64;
     private static final int MOST_BODY = 8 << 20;
+    private static final String INSTANCE_ID = "[\\x21-\\x7e]{1,256}";
 
     /** Hands a change to the head of the chain, wherever it is. */
     @FunctionalInterface
@@ -54,7 +56,9 @@
     private final OrderForwarder chain;
     private final Runnable flood;
     private final Supplier<RouteTable> table;
+    private final Supplier<CoreState> committed;
     private final Function<Set<String>, String> outside;
+    private final BooleanSupplier inTouch;
 
     public ControlApi(
             Eventloop loop,
@@ -63,14 +67,18 @@
             OrderForwarder chain,
             Runnable flood,
             Supplier<RouteTable> table,
-            Function<Set<String>, String> outside) {
+            Supplier<CoreState> committed,
+            Function<Set<String>, String> outside,
+            BooleanSupplier inTouch) {
         this.loop = loop;
         this.settings = settings;
         this.registry = registry;
         this.chain = chain;
         this.flood = flood;
         this.table = table;
+        this.committed = committed;
         this.outside = outside;
+        this.inTouch = inTouch;
     }
 
     @Override
@@ -156,14 +164,19 @@
             return Promise.of(plain(404, "region '" + g + "' is not known"));
         }
         if (table.get().services.values().stream().noneMatch(s -> s.engine && s.model.equals(m))) {
-            return Promise.of(plain(404, "model '" + m + "' is not known"));
+            return Promise.of(
+                    plain(inTouch.getAsBoolean() ? 404 : 503, "model '" + m + "' is not known"));
         }
         return ask(new CoreState.Change(CoreState.Act.PLACE, 0, g + "/" + m, order));
     }
 
+    /**
+     * Hands a change over. An order gets the version on which it is accepted here, and keeps it
+     * when it is handed over again.
+     */
     private Promise<HttpResponse> ask(CoreState.Change c) {
         var p = new SettablePromise<HttpResponse>();
-        ask(c, Clocks.nowUs(), p);
+        ask(committed.get().accepted(c), Clocks.nowUs(), p);
         return p;
     }
 
@@ -186,7 +199,10 @@
                                     + s
                                     + " "
                                     + (s == 200 ? "" : t));
-                    p.set(plain(s, s == 200 && t.isEmpty() ? "{}" : t));
+                    p.set(
+                            plain(
+                                    s == CoreState.STALE_ORDER ? 503 : s,
+                                    s == 200 && t.isEmpty() ? "{}" : t));
                 });
     }
 
@@ -215,7 +231,7 @@
         if (r.isEmpty()) {
             return Promise.of(
                     plain(
-                            404,
+                            inTouch.getAsBoolean() ? 404 : 503,
                             "Path: no route for host '" + j.host + "' and path '" + j.path + "'"));
         }
         if (j.dueUs < 1_000_000) {
@@ -319,7 +335,7 @@
             registry.take(r, true);
             if (r.draining) {
                 RingLog.note("replica " + r.id + " drains");
-                flood.run();
+                return toldToAll();
             }
             return plain(200, "{}");
         } catch (Fault | com.typesafe.config.ConfigException e) {
@@ -327,23 +343,30 @@
         }
     }
 
+    /**
+     * Ends a replica for good, also one that is not known here yet: its beats may come later than
+     * this.
+     */
     private HttpResponse deregister(String id) {
-        registry.replica(URLDecoder.decode(id, StandardCharsets.UTF_8))
-                .ifPresent(
-                        r -> {
-                            var n = new FleetRecords.Replica();
-                            n.id = r.id;
-                            n.service = r.service;
-                            n.address = r.address;
-                            n.zone = r.zone;
-                            n.seq = r.seq + 1;
-                            n.gone = true;
-                            n.draining = true;
-                            n.heardUs = Clocks.nowUs();
-                            registry.take(n, true);
-                            flood.run();
-                        });
-        return plain(200, "{}");
+        var instance = URLDecoder.decode(id, StandardCharsets.UTF_8);
+        if (!instance.matches(INSTANCE_ID)) {
+            return plain(400, "instance: 1 to 256 printable characters are expected");
+        }
+        RingLog.note("replica " + instance + " is deregistered");
+        registry.bury(instance, Clocks.nowUs());
+        return toldToAll();
+    }
+
+    /**
+     * Tells all daemons and edges that a replica drains or has ended, then acknowledges it. A
+     * daemon that is cut off from the majority has told those it can reach, but cannot promise that
+     * all know, so it gives no acknowledgement and the replica turns to another.
+     */
+    private HttpResponse toldToAll() {
+        flood.run();
+        return inTouch.getAsBoolean()
+                ? plain(200, "{}")
+                : plain(503, "this daemon is cut off, ask another");
     }
 
     // ---- clients
@@ -351,17 +374,12 @@
     private HttpResponse lookup(HttpRequest q) {
         var zone = Optional.ofNullable(q.getQueryParameter("Zone")).orElse("");
         var region = Optional.ofNullable(q.getQueryParameter("Region")).orElse("");
+        var host = Optional.ofNullable(q.getQueryParameter("Name")).orElse("");
         var open =
                 registry.members(Clocks.nowUs()).stream()
                         .filter(e -> e.ready && !e.leaving)
                         .toList();
-        var near = open.stream().filter(e -> e.zone.equals(zone)).toList();
-        if (near.isEmpty()) {
-            near = open.stream().filter(e -> e.region.equals(region)).toList();
-        }
-        if (near.isEmpty()) {
-            near = open;
-        }
+        var near = EdgeDirectory.choose(open, zone, region, EdgeDirectory.homes(table.get(), host));
         if (near.isEmpty()) {
             return plain(503, "no edge is ready");
         }
--- a/core/src/main/java/martenloom/core/duty/DutyService.java
+++ b/core/src/main/java/martenloom/core/duty/DutyService.java
@@ -76,8 +76,12 @@
 
     private void write(Want w) {
         if (writing.add(w.key)) {
+            var newest =
+                    Optional.ofNullable(chain.committed().duties.get(w.key))
+                            .map(d -> d.grant)
+                            .orElse(0L);
             ask.ask(
-                    new CoreState.Change(CoreState.Act.DUTY, 0, w.key, w.holder),
+                    new CoreState.Change(CoreState.Act.DUTY, newest, w.key, w.holder),
                     (s, t) -> {
                         writing.remove(w.key);
                         if (s == 200) {
--- a/core/src/main/java/martenloom/core/registry/Registry.java
+++ b/core/src/main/java/martenloom/core/registry/Registry.java
@@ -25,6 +25,14 @@
 public final class Registry {
     private static final long EDGE_LEASE_US = 2_500_000;
     private static final long FORGET_US = 60_000_000;
+
+    /**
+     * How long it is remembered that a replica was deregistered: far longer than any beat of it can
+     * be under way.
+     */
+    private static final long TOMBSTONE_US = 600_000_000;
+
+    private static final int MOST_TOMBSTONES = 4_096;
     private static final long TELL_US = 1_200_000;
 
     private static final class Shard {
@@ -39,6 +47,7 @@
     private final Map<String, FleetRecords.Replica> changed = new LinkedHashMap<>();
     private final Map<String, Long> toldUs = new HashMap<>();
     private volatile boolean digestOld = true;
+    private volatile boolean endsChanged;
     private int digest;
 
     public Registry(long beatUs) {
@@ -50,8 +59,15 @@
         return shards[FleetRecords.range(k)];
     }
 
-    /** Takes a row; true when it was newer. Direct rows are flooded on. */
+    /**
+     * Takes a row; true when it was newer. Direct rows are flooded on. A row that is too old to be
+     * kept is not taken, so that copies which daemons pass to each other never outlive the
+     * original.
+     */
     public boolean take(FleetRecords.Replica r, boolean direct) {
+        if (Clocks.nowUs() - r.heardUs > keptUs(r)) {
+            return false;
+        }
         var s = of(r.id);
         synchronized (s) {
             var old = Optional.ofNullable(s.replicas.get(r.id));
@@ -72,12 +88,19 @@
         }
     }
 
+    /**
+     * What is new goes to the edges, and what came in directly to the other daemons. Word that a
+     * replica drains or has ended is told on by every daemon that hears of it first, so that it
+     * also passes around a cut between two of them.
+     */
     private synchronized void mark(FleetRecords.Replica r, boolean direct, boolean same) {
-        if (direct) {
+        var ends = !same && (r.draining || r.gone);
+        if (direct || ends) {
             freshReplicas.put(r.id, r);
         }
         if (!same) {
             digestOld = true;
+            endsChanged |= ends;
             changed.put(r.id, r);
         }
     }
@@ -112,13 +135,62 @@
         }
     }
 
+    private static long keptUs(FleetRecords.Replica r) {
+        return r.gone ? TOMBSTONE_US : FORGET_US;
+    }
+
+    /**
+     * Ends a replica for good, whether it is known or not. The tombstone that stays is newer than
+     * any beat, travels as rows do, and is bounded in age and number.
+     */
+    public void bury(String id, long now) {
+        var tombstone = new FleetRecords.Replica();
+        replica(id)
+                .ifPresent(
+                        r -> {
+                            tombstone.service = r.service;
+                            tombstone.address = r.address;
+                            tombstone.zone = r.zone;
+                            tombstone.seq = r.seq + 1;
+                        });
+        tombstone.id = id;
+        tombstone.gone = true;
+        tombstone.draining = true;
+        tombstone.heardUs = now;
+        take(tombstone, true);
+    }
+
+    /**
+     * Whether some replica was reported as draining or ended since the last call for what changed.
+     */
+    public boolean endsChanged() {
+        return endsChanged;
+    }
+
+    /** Forgets the oldest tombstones when there are too many. */
+    private void boundTombstones() {
+        var tombstones =
+                replicas().stream()
+                        .filter(r -> r.gone)
+                        .sorted(Comparator.comparingLong((FleetRecords.Replica r) -> r.heardUs))
+                        .toList();
+        for (var r : tombstones.subList(0, Math.max(0, tombstones.size() - MOST_TOMBSTONES))) {
+            var s = of(r.id);
+            synchronized (s) {
+                s.replicas.remove(r.id);
+            }
+        }
+    }
+
     /** Marks the silent and forgets the long gone. */
     public void sweep(long now) {
+        var ended = 0;
         for (var s : shards) {
             synchronized (s) {
-                digestOld |= s.replicas.values().removeIf(r -> now - r.heardUs > FORGET_US);
+                digestOld |= s.replicas.values().removeIf(r -> now - r.heardUs > keptUs(r));
                 s.edges.values().removeIf(e -> now - e.heardUs > FORGET_US);
                 for (var r : s.replicas.values()) {
+                    ended += r.gone ? 1 : 0;
                     if (!r.silent && !r.gone && now - r.heardUs > silentUs) {
                         r.silent = true;
                         mark(r, false, false);
@@ -126,6 +198,9 @@
                 }
             }
         }
+        if (ended > MOST_TOMBSTONES) {
+            boundTombstones();
+        }
     }
 
     public List<FleetRecords.Replica> replicas() {
@@ -160,6 +235,7 @@
     public synchronized List<FleetRecords.Replica> pollChanged() {
         var l = new ArrayList<>(changed.values());
         changed.clear();
+        endsChanged = false;
         return l;
     }
 
@@ -180,14 +256,19 @@
     private static byte[] flood(
             Collection<FleetRecords.Replica> rs, Collection<FleetRecords.Edge> es, long now) {
         return new Codec.Out(FleetRecords.FLOOD)
+                .i64(now)
                 .list(rs, (o, r) -> r.write(o, now))
                 .list(es, (o, e) -> e.write(o, now))
                 .bytes();
     }
 
-    public void takeFlood(Codec.In in, long now) {
-        in.list(x -> take(FleetRecords.Replica.read(x, now), false));
-        in.list(x -> take(FleetRecords.Edge.read(x, now), false));
+    /**
+     * Takes the rows of a flood that left its sender at this time of our clock, from which their
+     * ages count.
+     */
+    public void takeFlood(Codec.In in, long sentUs) {
+        in.list(x -> take(FleetRecords.Replica.read(x, sentUs), false));
+        in.list(x -> take(FleetRecords.Edge.read(x, sentUs), false));
     }
 
     public byte[] digests() {
@@ -248,18 +329,40 @@
 
     /**
      * Takes the replicas of a note. They may be gone, which a attempt finds out, or cold, so they
-     * count as cold until their next beat says otherwise.
+     * count as cold until their next beat says otherwise. Tombstones keep their age.
      */
     public int remember(Codec.In in, long now, long coldUs) {
-        return in.list(
-                        x -> {
-                            var r = FleetRecords.Replica.read(x, now);
-                            r.heardUs = now;
-                            r.silent = false;
-                            r.warmAtUs = Math.max(r.warmAtUs, now + coldUs);
-                            return take(r, false);
-                        })
-                .size();
+        return (int)
+                in
+                        .list(
+                                x -> {
+                                    var r = FleetRecords.Replica.read(x, now);
+                                    if (r.gone) {
+                                        take(r, false);
+                                        return false;
+                                    }
+                                    r.heardUs = now;
+                                    r.silent = false;
+                                    r.warmAtUs = Math.max(r.warmAtUs, now + coldUs);
+                                    take(r, false);
+                                    return true;
+                                })
+                        .stream()
+                        .filter(live -> live)
+                        .count();
+    }
+
+    /** What tells whether the note for the next start has to be written anew. */
+    public int noteDigest() {
+        var ended = 0;
+        for (var s : shards) {
+            synchronized (s) {
+                for (var r : s.replicas.values()) {
+                    ended += r.gone ? r.id.hashCode() : 0;
+                }
+            }
+        }
+        return edgeDigest() * 31 + ended;
     }
 
     /** What an edge's copy is compared by. */
--- a/core/src/main/java/martenloom/core/state/CoreState.java
+++ b/core/src/main/java/martenloom/core/state/CoreState.java
@@ -4,8 +4,8 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HexFormat;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -26,14 +26,24 @@
  * told.
  */
 public final class CoreState {
-    private static final int HISTORY = 64;
+    /**
+     * What the caller of a stale order is told inside the core: the order did nothing and may be
+     * given anew. The control desk answers it with 503, since the same call sent again gets a fresh
+     * version.
+     */
+    public static final int STALE_ORDER = 598;
+
+    private static final String EVACUATION = "evacuation/";
+    private static final String PLACEMENT = "placement/";
+    private static final String SCALING = "scaling/";
+    private static final int ORDER_BITS = 32;
 
     public final long edition;
     public final List<String> roster;
     public final long revision;
     public final String json;
     public final String routingText;
-    public final Map<Long, String> history;
+    public final AppliedChanges applied;
     public final Set<String> evacuated;
     public final Map<String, Duty> duties;
     public final JobTable jobTable;
@@ -44,6 +54,13 @@
      */
     public final Map<String, Scale> scales;
 
+    /**
+     * How often each evacuation and placement was ordered, also after it ended, and the newest
+     * order of each scaler. An order acts only on the version that was committed where and when its
+     * call was accepted.
+     */
+    public final Map<String, Long> versions;
+
     /**
      * How many replicas of a model a region is to have, and which of them rest. Pinned by the
      * operator: all rest.
@@ -114,24 +131,32 @@
 
     /**
      * A change asked for: the act, the base it builds on, a subject (zone, duty key or member) and
-     * a body.
+     * a body. The version tells copies that come late: of an operator's order the version it was
+     * accepted on, of a scaler's order its number under the grant, of a word about a job the number
+     * of its run.
      */
     public static final class Change {
+        /** The version of an order that no daemon has accepted yet; it is never the current one. */
+        public static final long NOT_ACCEPTED = -1;
+
         public final Act act;
         public final long base;
         public final String subject;
         public final String body;
         public final long atUs;
         public final String survey;
+        public final long version;
 
         public Change(Act a, long base, String subject, String body) {
-            this(a, base, subject, body, 0, "");
+            this(a, base, subject, body, 0, "", NOT_ACCEPTED);
         }
 
-        private Change(Act a, long base, String subject, String body, long at, String s) {
+        private Change(
+                Act a, long base, String subject, String body, long at, String s, long version) {
             act = a;
             atUs = at;
             survey = s;
+            this.version = version;
             this.base = base;
             this.subject = subject;
             this.body = body;
@@ -139,7 +164,7 @@
 
         /** The same, stamped by the head with the job clock. */
         public Change stamped(long at) {
-            return new Change(act, base, subject, body, at, survey);
+            return new Change(act, base, subject, body, at, survey, version);
         }
 
         /**
@@ -147,16 +172,33 @@
          * by the same words.
          */
         public Change surveyed(String s) {
-            return new Change(act, base, subject, body, atUs, s);
+            return new Change(act, base, subject, body, atUs, s, version);
+        }
+
+        /** The same, with the version that tells it from a late copy. */
+        public Change versioned(long v) {
+            return new Change(act, base, subject, body, atUs, survey, v);
         }
 
         public void write(Codec.Out o) {
-            o.u8(act.ordinal()).i64(base).text(subject).text(body).i64(atUs).text(survey);
+            o.u8(act.ordinal())
+                    .i64(base)
+                    .text(subject)
+                    .text(body)
+                    .i64(atUs)
+                    .text(survey)
+                    .i64(version);
         }
 
         public static Change read(Codec.In in) {
             return new Change(
-                    Act.values()[in.u8()], in.i64(), in.text(), in.text(), in.i64(), in.text());
+                    Act.values()[in.u8()],
+                    in.i64(),
+                    in.text(),
+                    in.text(),
+                    in.i64(),
+                    in.text(),
+                    in.i64());
         }
     }
 
@@ -176,32 +218,65 @@
         }
     }
 
-    private CoreState(
-            long e,
-            List<String> r,
-            long rev,
-            String j,
-            String m,
-            Map<Long, String> h,
-            Set<String> ev,
-            Map<String, Duty> d,
-            JobTable b,
-            Map<String, Scale> sc) {
-        edition = e;
-        roster = List.copyOf(r);
-        revision = rev;
-        json = j;
-        routingText = m;
-        history = h;
-        evacuated = ev;
-        duties = d;
-        jobTable = b;
-        scales = sc;
+    private CoreState(Draft d) {
+        edition = d.edition;
+        roster = List.copyOf(d.roster);
+        revision = d.revision;
+        json = d.json;
+        routingText = d.routingText;
+        applied = d.applied;
+        evacuated = d.evacuated;
+        duties = d.duties;
+        jobTable = d.jobTable;
+        scales = d.scales;
+        versions = d.versions;
+    }
+
+    /** A state in the making: a copy of another in which single parts are replaced. */
+    private static final class Draft {
+        long edition;
+        List<String> roster = List.of();
+        long revision;
+        String json = "";
+        String routingText = "";
+        AppliedChanges applied = AppliedChanges.EMPTY;
+        Set<String> evacuated = Set.of();
+        Map<String, Duty> duties = Map.of();
+        JobTable jobTable = JobTable.EMPTY;
+        Map<String, Scale> scales = Map.of();
+        Map<String, Long> versions = Map.of();
+
+        void version(String key, long v) {
+            versions = new TreeMap<>(versions);
+            versions.put(key, v);
+        }
+
+        Outcome done(String text) {
+            edition++;
+            return new Outcome(200, text, Optional.of(new CoreState(this)));
+        }
+    }
+
+    private Draft draft() {
+        var d = new Draft();
+        d.edition = edition;
+        d.roster = roster;
+        d.revision = revision;
+        d.json = json;
+        d.routingText = routingText;
+        d.applied = applied;
+        d.evacuated = evacuated;
+        d.duties = duties;
+        d.jobTable = jobTable;
+        d.scales = scales;
+        d.versions = versions;
+        return d;
     }
 
     public static CoreState founded(List<String> roster) {
-        return new CoreState(
-                0, roster, 0, "", "", Map.of(), Set.of(), Map.of(), JobTable.EMPTY, Map.of());
+        var d = new Draft();
+        d.roster = roster;
+        return new CoreState(d);
     }
 
     public byte[] bytes() {
@@ -212,49 +287,77 @@
                         .i64(revision)
                         .text(json)
                         .text(routingText);
-        o.list(history.entrySet(), (w, x) -> w.i64(x.getKey()).text(x.getValue()));
+        applied.write(o);
         o.texts(evacuated);
         o.list(
                 duties.entrySet(),
                 (w, x) -> w.text(x.getKey()).i64(x.getValue().grant).text(x.getValue().holder));
         jobTable.write(o);
         o.list(scales.entrySet(), (w, x) -> x.getValue().write(w.text(x.getKey())));
+        o.list(versions.entrySet(), (w, x) -> w.text(x.getKey()).i64(x.getValue()));
         return o.bytes();
     }
 
     public static CoreState of(byte[] b) {
         var in = new Codec.In(b, false);
-        var e = in.i64();
-        var r = in.texts();
-        var rev = in.i64();
-        var j = in.text();
-        var m = in.text();
-        var h = new LinkedHashMap<Long, String>();
-        in.list(x -> h.put(x.i64(), x.text()));
-        var ev = new TreeSet<>(in.texts());
-        var d = new TreeMap<String, Duty>();
-        in.list(x -> d.put(x.text(), new Duty(x.i64(), x.text())));
-        var jb = JobTable.read(in);
-        var sc = new TreeMap<String, Scale>();
-        in.list(x -> sc.put(x.text(), Scale.read(x)));
-        return new CoreState(e, r, rev, j, m, h, ev, d, jb, sc);
+        var d = new Draft();
+        d.edition = in.i64();
+        d.roster = in.texts();
+        d.revision = in.i64();
+        d.json = in.text();
+        d.routingText = in.text();
+        d.applied = AppliedChanges.read(in);
+        d.evacuated = new TreeSet<>(in.texts());
+        var duties = new TreeMap<String, Duty>();
+        in.list(x -> duties.put(x.text(), new Duty(x.i64(), x.text())));
+        d.duties = duties;
+        d.jobTable = JobTable.read(in);
+        var scales = new TreeMap<String, Scale>();
+        in.list(x -> scales.put(x.text(), Scale.read(x)));
+        d.scales = scales;
+        var versions = new TreeMap<String, Long>();
+        in.list(x -> versions.put(x.text(), x.i64()));
+        d.versions = versions;
+        return new CoreState(d);
+    }
+
+    /**
+     * The order as accepted by a daemon that has committed this state: it carries the version of
+     * what it changes. Whatever is no order of the operator stays as it is.
+     */
+    public Change accepted(Change c) {
+        return switch (c.act) {
+            case EVAC_START, EVAC_FINISH -> c.versioned(version(EVACUATION + c.subject));
+            case PLACE -> c.versioned(version(PLACEMENT + c.subject));
+            default -> c;
+        };
+    }
+
+    /** Whether a newer grant of this duty is known than that of the one who speaks. */
+    public boolean overtaken(String duty, long grant) {
+        return Optional.ofNullable(duties.get(duty)).filter(d -> d.grant > grant).isPresent();
+    }
+
+    private long version(String key) {
+        return versions.getOrDefault(key, 0L);
+    }
+
+    private static Outcome refused(int status, String why) {
+        return new Outcome(status, why, Optional.empty());
     }
 
-    private CoreState next(
-            List<String> r,
-            Set<String> ev,
-            Map<String, Duty> d,
-            JobTable b,
-            Map<String, Scale> sc) {
-        return new CoreState(edition + 1, r, revision, json, routingText, history, ev, d, b, sc);
+    private static Outcome stale(Change c) {
+        return refused(
+                STALE_ORDER,
+                "the order was overtaken by another of '" + c.subject + "', nothing was done");
     }
 
     public Outcome decide(Change c) {
         return switch (c.act) {
             case READ -> new Outcome(revision == 0 ? 404 : 200, json, Optional.empty());
             case REPLACE, UPDATE -> configuration(c);
-            case EVAC_START -> evacuate(c.subject, true);
-            case EVAC_FINISH -> evacuate(c.subject, false);
+            case EVAC_START -> evacuate(c, true);
+            case EVAC_FINISH -> evacuate(c, false);
             case DUTY -> duty(c);
             case ROSTER -> enrol(c.subject);
             case ROSTER_OUT -> strike(c.subject);
@@ -266,161 +369,202 @@
 
     private Outcome job(Change c) {
         var s = jobTable.decide(c, duties);
-        return new Outcome(
-                s.status(),
-                s.text(),
-                s.next().map(b -> next(roster, evacuated, duties, b, scales)));
+        return s.next()
+                .map(
+                        b -> {
+                            var d = draft();
+                            d.jobTable = b;
+                            return d.done(s.text());
+                        })
+                .orElseGet(() -> refused(s.status(), s.text()));
     }
 
+    /**
+     * A change that was applied is acknowledged again, whatever came after it; the base and the act
+     * are part of it.
+     */
     private Outcome configuration(Change c) {
-        var d = digest(c);
+        var digest = digest(c);
+        if (applied.contains(digest)) {
+            return new Outcome(200, "", Optional.empty());
+        }
         try {
             var rev = Configurations.revisionOf(c.body);
-            if (d.equals(history.get(rev))) {
-                return new Outcome(200, "", Optional.empty());
-            }
             if (c.base != revision) {
-                return new Outcome(412, "revision " + revision + " is in place", Optional.empty());
+                return refused(412, "revision " + revision + " is in place");
             }
             var s =
                     c.act == Act.REPLACE
                             ? Configurations.replace(c.body)
                             : Configurations.update(json, c.body);
             if (rev <= revision) {
-                return new Outcome(
-                        400, "Revision: " + rev + " is not above " + revision, Optional.empty());
+                return refused(400, "Revision: " + rev + " is not above " + revision);
             }
-            return new Outcome(200, "", Optional.of(withConfiguration(s, d)));
+            var d = draft();
+            d.revision = s.revision;
+            d.json = s.json;
+            d.routingText = s.routingText;
+            d.applied = applied.with(digest);
+            return d.done("");
         } catch (Fault f) {
-            return new Outcome(400, f.getMessage(), Optional.empty());
+            return refused(400, f.getMessage());
         } catch (RuntimeException e) {
-            return new Outcome(
-                    400,
-                    "the configuration cannot be read: " + e.getClass().getSimpleName(),
-                    Optional.empty());
+            return refused(
+                    400, "the configuration cannot be read: " + e.getClass().getSimpleName());
         }
     }
 
-    private CoreState withConfiguration(Configurations.Checked s, String d) {
-        var h = new LinkedHashMap<>(history);
-        h.put(s.revision, d);
-        while (h.size() > HISTORY) {
-            h.remove(h.keySet().iterator().next());
-        }
-        return new CoreState(
-                edition + 1,
-                roster,
-                s.revision,
-                s.json,
-                s.routingText,
-                h,
-                evacuated,
-                duties,
-                jobTable,
-                scales);
-    }
-
-    private Outcome evacuate(String zone, boolean on) {
-        if (evacuated.contains(zone) == on) {
-            return new Outcome(200, "", Optional.empty());
+    /**
+     * Starts or finishes the evacuation of a zone. An order that finds its wish fulfilled is
+     * acknowledged, and counts all the same: a copy of the opposite order that was accepted before
+     * and is still on its way must not act afterwards.
+     */
+    private Outcome evacuate(Change c, boolean on) {
+        var key = EVACUATION + c.subject;
+        var fulfilled = evacuated.contains(c.subject) == on;
+        if (!fulfilled && c.version != version(key)) {
+            return stale(c);
         }
-        var ev = new TreeSet<>(evacuated);
+        var d = draft();
+        d.version(key, version(key) + 1);
+        d.evacuated = new TreeSet<>(evacuated);
         if (on) {
-            ev.add(zone);
+            d.evacuated.add(c.subject);
         } else {
-            ev.remove(zone);
+            d.evacuated.remove(c.subject);
         }
-        return new Outcome(200, "", Optional.of(next(roster, ev, duties, jobTable, scales)));
+        return d.done("");
     }
 
+    /**
+     * Grants a duty to a holder, as the successor of the grant that the change names as its base.
+     * The pair of holder and base identifies the attempt: the same again yields the same grant and
+     * writes nothing, and one whose base is no longer the newest grant is refused.
+     */
     private Outcome duty(Change c) {
-        var d = new TreeMap<>(duties);
-        var g = d.getOrDefault(c.subject, new Duty(0, "")).grant + 1;
-        d.put(c.subject, new Duty(g, c.body));
-        return new Outcome(
-                200, String.valueOf(g), Optional.of(next(roster, evacuated, d, jobTable, scales)));
+        var held = duties.getOrDefault(c.subject, new Duty(0, ""));
+        if (held.grant == c.base + 1 && held.holder.equals(c.body)) {
+            return new Outcome(200, String.valueOf(held.grant), Optional.empty());
+        }
+        if (held.grant != c.base) {
+            return refused(
+                    409,
+                    "fence: grant "
+                            + c.base
+                            + " of "
+                            + c.subject
+                            + " is not the newest, "
+                            + held.grant
+                            + " is");
+        }
+        var d = draft();
+        d.duties = new TreeMap<>(duties);
+        d.duties.put(c.subject, new Duty(held.grant + 1, c.body));
+        return d.done(String.valueOf(held.grant + 1));
     }
 
     private Outcome enrol(String ip) {
         if (roster.contains(ip)) {
             return new Outcome(200, "", Optional.empty());
         }
-        var r = new ArrayList<>(roster);
-        r.add(ip);
-        return new Outcome(200, "", Optional.of(next(r, evacuated, duties, jobTable, scales)));
+        var d = draft();
+        d.roster = new ArrayList<>(roster);
+        d.roster.add(ip);
+        return d.done("");
     }
 
     private Outcome strike(String ip) {
         if (!roster.contains(ip)) {
             return new Outcome(200, "", Optional.empty());
         }
-        var r = new ArrayList<>(roster);
-        r.remove(ip);
-        return new Outcome(200, "", Optional.of(next(r, evacuated, duties, jobTable, scales)));
+        var d = draft();
+        d.roster = new ArrayList<>(roster);
+        d.roster.remove(ip);
+        return d.done("");
     }
 
     // ---- placement
 
     /**
      * The scaler's order, under the grant of its duty: how many are desired, then who rests, one a
-     * line.
+     * line. Its number under the grant fences it too: an order that was overtaken by a later one of
+     * the same scaler is refused.
      */
     private Outcome scale(Change c) {
         var g = c.subject.indexOf('/');
-        var d = Optional.ofNullable(duties.get("scale/" + c.subject.substring(0, Math.max(0, g))));
-        if (g < 1 || d.isEmpty() || d.get().grant != c.base) {
-            return new Outcome(
-                    409,
-                    "fence: grant " + c.base + " of scale/" + c.subject + " is not in force",
-                    Optional.empty());
+        var held =
+                Optional.ofNullable(duties.get("scale/" + c.subject.substring(0, Math.max(0, g))));
+        if (g < 1 || held.isEmpty() || held.get().grant != c.base) {
+            return refused(
+                    409, "fence: grant " + c.base + " of scale/" + c.subject + " is not in force");
         }
         if (!c.body.matches("all|\\d{1,6}(\\n[^\\n]+)*")) {
-            return new Outcome(
-                    400,
-                    "order: a count, or all, and then one replica a line are expected",
-                    Optional.empty());
+            return refused(400, "order: a count, or all, and then one replica a line are expected");
         }
-        var l = c.body.split("\n");
-        var held = Optional.ofNullable(scales.get(c.subject));
-        if (held.isPresent() && held.get().pinned) {
-            return new Outcome(
-                    409, "pinned: " + c.subject + " is unloaded by the operator", Optional.empty());
+        var order = (c.base << ORDER_BITS) + c.version;
+        if (order < version(SCALING + c.subject)) {
+            return refused(
+                    409,
+                    "fence: order "
+                            + c.version
+                            + " of "
+                            + c.subject
+                            + " was overtaken by a later one");
         }
-        if (c.body.equals("all")) {
-            return placed(c, Optional.empty());
+        if (pinned(c.subject)) {
+            return refused(409, "pinned: " + c.subject + " is unloaded by the operator");
         }
-        var rest = new TreeSet<>(List.of(l).subList(1, l.length));
-        return placed(c, Optional.of(new Scale(Integer.parseInt(l[0]), false, c.base, rest)));
+        var wish = Optional.<Scale>empty();
+        if (!c.body.equals("all")) {
+            var lines = List.of(c.body.split("\n"));
+            var resting = new TreeSet<>(lines.subList(1, lines.size()));
+            wish = Optional.of(new Scale(Integer.parseInt(lines.get(0)), false, c.base, resting));
+        }
+        return placed(c, wish, SCALING + c.subject, order);
+    }
+
+    private boolean pinned(String subject) {
+        return Optional.ofNullable(scales.get(subject)).filter(Scale::pinned).isPresent();
     }
 
     /**
      * The operator's order: a region's replicas of a model rest, or run again as the scaler says.
+     * One that finds its wish fulfilled counts as an evacuation's does.
      */
     private Outcome place(Change c) {
-        return placed(
-                c,
-                c.body.equals("unload")
-                        ? Optional.of(new Scale(0, true, 0, Set.of()))
-                        : Optional.empty());
+        var key = PLACEMENT + c.subject;
+        var unload = c.body.equals("unload");
+        var fulfilled = pinned(c.subject) == unload;
+        if (!fulfilled && c.version != version(key)) {
+            return stale(c);
+        }
+        var held = Optional.ofNullable(scales.get(c.subject));
+        var wish =
+                fulfilled
+                        ? held
+                        : unload
+                                ? Optional.of(new Scale(0, true, 0, Set.of()))
+                                : Optional.<Scale>empty();
+        return placed(c, wish, key, version(key) + 1);
     }
 
-    private Outcome placed(Change c, Optional<Scale> s) {
-        var held = Optional.ofNullable(scales.get(c.subject));
-        if (held.equals(s)) {
-            return new Outcome(200, "", Optional.empty());
+    private Outcome placed(Change c, Optional<Scale> wish, String versionKey, long version) {
+        var d = draft();
+        d.version(versionKey, version);
+        if (Optional.ofNullable(scales.get(c.subject)).equals(wish)) {
+            return d.done("");
         }
         var to = new TreeMap<>(scales);
-        s.ifPresentOrElse(x -> to.put(c.subject, x), () -> to.remove(c.subject));
+        wish.ifPresentOrElse(x -> to.put(c.subject, x), () -> to.remove(c.subject));
         var t = RoutingLanguage.compile(routingText);
         var all = Placement.of(c.survey);
         var bad = Placement.added(rested(all, t, scales), rested(all, t, to), t);
         if (!bad.isEmpty()) {
-            return new Outcome(
-                    409,
-                    String.join("; ", bad.stream().map(Placement.Finding::text).toList()),
-                    Optional.empty());
+            return refused(
+                    409, String.join("; ", bad.stream().map(Placement.Finding::text).toList()));
         }
-        return new Outcome(200, "", Optional.of(next(roster, evacuated, duties, jobTable, to)));
+        d.scales = to;
+        return d.done("");
     }
 
     /** What runs when those that rest by these orders are taken away. */
@@ -441,15 +585,20 @@
         return p;
     }
 
-    private static String digest(Change c) {
-        return sha(c.act + " " + c.base + "\n", c.body.getBytes(StandardCharsets.UTF_8));
+    private static byte[] digest(Change c) {
+        var whole = sha256(c.act + " " + c.base + "\n", c.body.getBytes(StandardCharsets.UTF_8));
+        return Arrays.copyOf(whole, AppliedChanges.DIGEST_BYTES);
     }
 
     public static String sha(String head, byte[] body) {
+        return HexFormat.of().formatHex(sha256(head, body));
+    }
+
+    private static byte[] sha256(String head, byte[] body) {
         try {
             var md = MessageDigest.getInstance("SHA-256");
             md.update(head.getBytes(StandardCharsets.UTF_8));
-            return HexFormat.of().formatHex(md.digest(body));
+            return md.digest(body);
         } catch (NoSuchAlgorithmException e) {
             throw Fault.here(
                     Fault.Code.CONFIGURATION, "digest configuration", "SHA-256 is not to be had");
--- a/core/src/main/java/martenloom/core/state/JobTable.java
+++ b/core/src/main/java/martenloom/core/state/JobTable.java
@@ -181,7 +181,7 @@
         return n;
     }
 
-    // ---- what the holder of the duty says; base is its fence
+    // ---- what the holder of the duty says; base is its fence, version the number of the run
 
     private Said fenced(CoreState.Change c, Job j, Map<String, CoreState.Duty> duties) {
         var d = Optional.ofNullable(duties.get(j.duty()));
@@ -191,8 +191,17 @@
         if (c.act == CoreState.Act.JOB_START) {
             return start(c, j);
         }
-        if (j.state != Job.State.RUNNING || j.fence != c.base) {
-            return no(409, "job '" + j.id + "' is " + j.state.word() + " under fence " + j.fence);
+        if (j.state != Job.State.RUNNING || j.fence != c.base || j.runs != c.version) {
+            return no(
+                    409,
+                    "job '"
+                            + j.id
+                            + "' is "
+                            + j.state.word()
+                            + " under fence "
+                            + j.fence
+                            + ", run "
+                            + j.runs);
         }
         var in = new Codec.In(Base64.getDecoder().decode(c.body), false);
         return switch (c.act) {
@@ -238,7 +247,14 @@
         };
     }
 
+    /**
+     * Starts the run after the one that the holder knew of: a copy that comes after that run was
+     * taken back starts nothing.
+     */
     private Said start(CoreState.Change c, Job j) {
+        if (j.runs != c.version) {
+            return no(409, "job '" + j.id + "' has had " + j.runs + " runs, not " + c.version);
+        }
         if (j.state == Job.State.RUNNING && j.fence < c.base) {
             if (!j.repeatable) {
                 return put(
--- a/core/src/test/java/martenloom/core/state/JobTableTest.java
+++ b/core/src/test/java/martenloom/core/state/JobTableTest.java
@@ -6,6 +6,7 @@
 
 import java.util.Base64;
 import java.util.List;
+import java.util.Optional;
 import martenloom.common.codec.Codec;
 import martenloom.common.jobs.Job;
 import org.junit.jupiter.api.Test;
@@ -15,6 +16,16 @@
     private CoreState s = CoreState.founded(List.of("a"));
 
     private int go(CoreState.Act a, long fence, String id, Codec.Out body, long at) {
+        return go(
+                a,
+                fence,
+                id,
+                Optional.ofNullable(s.jobTable.jobs.get(id)).map(j -> j.runs).orElse(0),
+                body,
+                at);
+    }
+
+    private int go(CoreState.Act a, long fence, String id, long run, Codec.Out body, long at) {
         var o =
                 s.decide(
                         new CoreState.Change(
@@ -22,13 +33,24 @@
                                         fence,
                                         id,
                                         Base64.getEncoder().encodeToString(body.bytes()))
-                                .stamped(at));
+                                .stamped(at)
+                                .versioned(run));
         s = o.next.orElse(s);
         return o.status;
     }
 
     private void duty(String holder) {
-        s = s.decide(new CoreState.Change(CoreState.Act.DUTY, 0, "jobs/north", holder)).next.get();
+        s =
+                s.decide(
+                                new CoreState.Change(
+                                        CoreState.Act.DUTY,
+                                        Optional.ofNullable(s.duties.get("jobs/north"))
+                                                .map(d -> d.grant)
+                                                .orElse(0L),
+                                        "jobs/north",
+                                        holder))
+                        .next
+                        .get();
     }
 
     private int submit(String id, boolean repeatable, String text) {
@@ -115,6 +137,28 @@
         assertEquals(Job.State.DONE, state("k"));
     }
 
+    @Test
+    void aLateCopyOfARunnersWordNeverActsOnALaterRun() {
+        duty("x");
+        submit("j", false, "t");
+        assertEquals(200, go(CoreState.Act.JOB_START, 1, "j", 0, new Codec.Out(), 2000));
+        var back = new Codec.Out().u8(0).text("no room");
+        assertEquals(200, go(CoreState.Act.JOB_BACK, 1, "j", 1, back, 2100));
+        assertEquals(
+                409,
+                go(CoreState.Act.JOB_START, 1, "j", 0, new Codec.Out(), 2200),
+                "a copy of the first start");
+        assertEquals(Job.State.WAITING, state("j"));
+        assertEquals(200, go(CoreState.Act.JOB_START, 1, "j", 1, new Codec.Out(), 2300));
+        assertEquals(
+                409,
+                go(CoreState.Act.JOB_BACK, 1, "j", 1, back, 2400),
+                "a copy that gave the first run back");
+        assertEquals(409, go(CoreState.Act.JOB_DONE, 1, "j", 1, done(0, "first"), 2400));
+        assertEquals(Job.State.RUNNING, state("j"), "what may not be repeated runs once at a time");
+        assertEquals(200, go(CoreState.Act.JOB_DONE, 1, "j", 2, done(0, "second"), 2500));
+    }
+
     @Test
     void limitsAreStated() {
         for (var i = 0; i < JobTable.MOST_JOBS; i++) {
--- a/core/src/test/java/martenloom/core/state/ScaleOrderTest.java
+++ b/core/src/test/java/martenloom/core/state/ScaleOrderTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import martenloom.routing.placement.Placement;
 import org.junit.jupiter.api.BeforeEach;
@@ -21,18 +22,28 @@
                 + "\"Backends\":[{\"Name\":\"s\",\"HealthPath\":\"/h\",\"MaxConnections\":60,\"WarmupS\":1.0,\"WarmupPerS\":8.0,\"InferenceEngine\":{\"Capacity\":8,\"CacheTokens\":100000,\"Models\":[{\"Name\":\"m\"}]}}]}";
     private CoreState s = CoreState.founded(List.of("a"));
     private final Placement runs = new Placement();
+    private long orders;
 
     private CoreState.Outcome go(CoreState.Act a, long base, String subject, String body) {
-        var o =
-                s.decide(
-                        new CoreState.Change(a, base, subject, body)
-                                .surveyed(a.ofPlacement() ? runs.text() : ""));
+        return go(s.accepted(new CoreState.Change(a, base, subject, body).versioned(++orders)));
+    }
+
+    private CoreState.Outcome go(CoreState.Change c) {
+        var o = s.decide(c.surveyed(c.act.ofPlacement() ? runs.text() : ""));
         s = o.next.orElse(s);
         return o;
     }
 
     private long grant(String region, String holder) {
-        return Long.parseLong(go(CoreState.Act.DUTY, 0, "scale/" + region, holder).text);
+        return Long.parseLong(
+                go(
+                                CoreState.Act.DUTY,
+                                Optional.ofNullable(s.duties.get("scale/" + region))
+                                        .map(d -> d.grant)
+                                        .orElse(0L),
+                                "scale/" + region,
+                                holder)
+                        .text);
     }
 
     @BeforeEach
@@ -70,6 +81,7 @@
                 200,
                 s.decide(
                                 new CoreState.Change(CoreState.Act.SCALE, q, "south/m", "0\ns1")
+                                        .versioned(1)
                                         .surveyed(runs.text()))
                         .status,
                 "safe alone");
@@ -97,6 +109,23 @@
         assertEquals(200, go(CoreState.Act.SCALE, n, "north/m", "1\nn1").status);
     }
 
+    @Test
+    void aScalersOrderThatWasOvertakenByItsNextNeverActs() {
+        var n = grant("north", "edge1#1");
+        var first = new CoreState.Change(CoreState.Act.SCALE, n, "north/m", "1\nn2").versioned(1);
+        var second = new CoreState.Change(CoreState.Act.SCALE, n, "north/m", "all").versioned(2);
+        assertEquals(200, go(second).status);
+        assertEquals(409, go(first).status, "it sat in a link for a while");
+        assertFalse(s.scales.containsKey("north/m"));
+        assertEquals(200, go(second).status, "the same again");
+        var heir = grant("north", "edge2#1");
+        assertEquals(
+                200,
+                go(new CoreState.Change(CoreState.Act.SCALE, heir, "north/m", "1\nn2").versioned(1))
+                        .status,
+                "a successor counts anew");
+    }
+
     @Test
     void ordersOutliveTheDiskAndMalformedOnesKeepNothing() {
         var n = grant("north", "edge1#1");
--- a/edge/src/main/java/martenloom/edge/EdgeDaemon.java
+++ b/edge/src/main/java/martenloom/edge/EdgeDaemon.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -33,10 +34,12 @@
 import martenloom.common.fleet.FleetRecords;
 import martenloom.common.link.LinkTraffic;
 import martenloom.common.link.PeerLinks;
+import martenloom.common.link.PendingRequests;
 import martenloom.common.log.RingLog;
 import martenloom.common.settings.Settings;
 import martenloom.edge.dispatch.ClientConnection;
 import martenloom.edge.dispatch.RequestDispatcher;
+import martenloom.edge.duty.HeldDuties;
 import martenloom.edge.jobs.JobRunner;
 import martenloom.edge.overload.Overload;
 import martenloom.edge.replica.ReplicaTable;
@@ -56,14 +59,28 @@
     private static final long SCALE_US = 200_000;
     private static final long STALE_US = 1_200_000;
     private static final long SILENCE_US = 1_400_000;
+    private static final long ASK_US = 3_000_000;
+
+    /** The records that count only from the home of the moment, on the link to it. */
+    private static final Set<Integer> OF_THE_HOME =
+            Set.of(
+                    FleetRecords.NEWS,
+                    FleetRecords.CONFIGURATION,
+                    FleetRecords.REPLICAS,
+                    FleetRecords.DUTY_GRANT,
+                    FleetRecords.JOBS,
+                    FleetRecords.ANSWER,
+                    FleetRecords.WHOLE_SUM,
+                    FleetRecords.REPORT);
 
     private final Settings settings;
     private final Eventloop loop;
     private final RequestDispatcher dispatcher;
     private final ReplicaTable replicaTable;
     private final JobRunner jobs;
-    private final Map<Long, BiConsumer<Integer, String>> asked = new HashMap<>();
-    private long asks;
+    private final PendingRequests<PeerLinks.Link> homeRequests =
+            new PendingRequests<>(new SecureRandom().nextLong());
+    private long scaleOrders;
     private boolean jobsLive;
     private final long life = System.nanoTime() ^ ThreadLocalRandom.current().nextLong();
     private final Set<String> cores = new LinkedHashSet<>();
@@ -72,7 +89,7 @@
     private final ScaleRunner scaler;
     private int edgesNow;
     private final OverloadReporting reporting;
-    private final Map<String, Duty> duties = new TreeMap<>();
+    private final HeldDuties duties = new HeldDuties();
     private Optional<PeerLinks.Dial> home = Optional.empty();
     private String homeIp = "";
     private long homeSinceUs;
@@ -88,12 +105,6 @@
     private int most = 1;
     private int turn;
 
-    /** A duty this edge holds, until a moment on its own clock. */
-    private static final class Duty {
-        long grant;
-        long untilUs;
-    }
-
     public EdgeDaemon(Settings p, Eventloop loop) {
         this(p, loop, ScaleSettings.DEFAULT);
     }
@@ -115,6 +126,7 @@
                                         "SCALE",
                                         key,
                                         g,
+                                        ++scaleOrders,
                                         Stream.concat(
                                                         Stream.of(
                                                                 n == ScaleRunner.ALL
@@ -299,50 +311,45 @@
         var now = Clocks.nowUs();
         var fresh = now - load.wholeUs() < SILENCE_US;
         scaler.tick(
-                holds(scaleDuty()) ? duties.get(scaleDuty()).grant : 0,
+                duties.grantInForce(scaleDuty(), now).orElse(0L),
                 load.whole(),
                 fresh && load.whole().edges() * 3 >= edgesNow * 2,
                 now);
     }
 
     private boolean holds(String key) {
-        var d = Optional.ofNullable(duties.get(key));
-        return d.isPresent() && Clocks.nowUs() < d.get().untilUs;
+        return duties.holds(key, Clocks.nowUs());
     }
 
     // ---- words to the core about jobs
 
+    /**
+     * Asks the core by the home; the version tells the request from a late copy, see
+     * CoreState.Change.
+     */
     private void askCore(
-            String act, String job, long fence, String body, BiConsumer<Integer, String> reply) {
+            String act,
+            String subject,
+            long fence,
+            long version,
+            String body,
+            BiConsumer<Integer, String> reply) {
         var l = home.flatMap(PeerLinks.Dial::link);
         if (l.isEmpty()) {
             loop.post(() -> reply.accept(503, "no home"));
             return;
         }
-        var id = ++asks;
-        asked.put(id, reply);
-        l.get()
-                .send(
-                        new Codec.Out(FleetRecords.EDGE_ASK)
-                                .i64(id)
-                                .text(act)
-                                .text(job)
-                                .i64(fence)
-                                .text(body)
-                                .bytes());
-        Clocks.after(
-                loop,
-                3_000_000,
-                () ->
-                        Optional.ofNullable(asked.remove(id))
-                                .ifPresent(r -> r.accept(503, "no reply")));
+        var id = homeRequests.open(l.get(), reply);
+        var o = new Codec.Out(FleetRecords.EDGE_ASK);
+        id.write(o);
+        l.get().send(o.text(act).text(subject).i64(fence).i64(version).text(body).bytes());
+        Clocks.after(loop, ASK_US, () -> homeRequests.expire(id, "no reply"));
     }
 
-    private void onAnswer(Codec.In in) {
-        var r = Optional.ofNullable(asked.remove(in.i64()));
-        var s = in.i32();
-        var t = in.text();
-        r.ifPresent(x -> x.accept(s, t));
+    private void onAnswer(PeerLinks.Link l, Codec.In in) {
+        if (!homeRequests.answered(PendingRequests.RequestId.read(in), l, in.i32(), in.text())) {
+            RingLog.note("link " + l.peer + ": an answer to no request of ours is dropped");
+        }
     }
 
     private void onJobs(Codec.In in) {
@@ -350,8 +357,8 @@
                 in.list(
                         x ->
                                 new JobRunner.Line(
-                                        x.text(), x.flag(), x.i64(), x.i64(), x.i64(), x.text(),
-                                        x.text())));
+                                        x.text(), x.flag(), x.i64(), x.i32(), x.i64(), x.i64(),
+                                        x.text(), x.text())));
     }
 
     private Collection<String> wants() {
@@ -517,24 +524,18 @@
         if (!in.text().equals(holder())) {
             return;
         }
-        var d = duties.computeIfAbsent(in.text(), k -> new Duty());
-        d.grant = in.i64();
-        var stamp = in.i64();
-        d.untilUs = Math.max(d.untilUs, stamp + in.i64() - 300_000);
-        if (duties.get(jobDuty()) == d) {
-            jobs.onGrant(d.grant);
+        var key = in.text();
+        var grant = in.i64();
+        if (duties.granted(key, grant, in.i64(), in.i64(), Clocks.nowUs())
+                && key.equals(jobDuty())) {
+            jobs.onGrant(grant);
         }
     }
 
     private void report() {
         var now = Clocks.nowUs();
-        var held = new TreeMap<String, Long>();
-        duties.forEach(
-                (key, d) -> {
-                    if (now < d.untilUs && !key.equals(jobDuty()) && !key.equals(scaleDuty())) {
-                        held.put(key, d.grant);
-                    }
-                });
+        var held = duties.held(now);
+        held.keySet().removeAll(List.of(jobDuty(), scaleDuty()));
         reporting.tick(held, now);
     }
 
@@ -557,6 +558,12 @@
     @Override
     public void onRecord(PeerLinks.Link l, byte[] record) {
         var in = new Codec.In(record, true);
+        if (OF_THE_HOME.contains(in.type)
+                && home.flatMap(PeerLinks.Dial::link).filter(h -> h == l).isEmpty()) {
+            RingLog.note(
+                    "link " + l.peer + ": record " + in.type + " is not from the home, dropped");
+            return;
+        }
         switch (in.type) {
             case FleetRecords.HELLO -> {
                 l.peer = in.text();
@@ -568,7 +575,7 @@
             case FleetRecords.REPLICAS -> onReplicas(in);
             case FleetRecords.DUTY_GRANT -> onGrant(in);
             case FleetRecords.JOBS -> onJobs(in);
-            case FleetRecords.ANSWER -> onAnswer(in);
+            case FleetRecords.ANSWER -> onAnswer(l, in);
             case FleetRecords.WHOLE_SUM -> load.onWhole(in, Clocks.nowUs());
             case FleetRecords.REPORT -> onReport(Overload.Report.read(in));
             case FleetRecords.QUERY ->
@@ -579,6 +586,7 @@
 
     @Override
     public void onClosed(PeerLinks.Link l) {
+        homeRequests.closed(l, "the link to the home closed before an answer");
         RingLog.note("link " + l.peer + " closed");
     }
 
@@ -646,15 +654,7 @@
                                                                         r.percent())));
                                         b.append('\n');
                                     });
-            case "leases" ->
-                    duties.forEach(
-                            (k, d) ->
-                                    b.append(
-                                            String.format(
-                                                    "%s grant %d left %d ms\n",
-                                                    k,
-                                                    d.grant,
-                                                    Math.max(0, d.untilUs - now) / 1000)));
+            case "leases" -> b.append(duties.text(now));
             case "replicas" ->
                     replicaTable
                             .all()
--- a/edge/src/main/java/martenloom/edge/jobs/JobRunner.java
+++ b/edge/src/main/java/martenloom/edge/jobs/JobRunner.java
@@ -33,11 +33,19 @@
     private static final int MOST = 6;
     private static final int KEEP_BYTES = 16 << 10;
 
-    /** How the core is told: act, subject, fence, body; the reply is a status and a text. */
+    /**
+     * How the core is told: act, subject, fence, number of the run, body; the reply is a status and
+     * a text.
+     */
     @FunctionalInterface
     public interface Core {
         void ask(
-                String act, String job, long fence, String body, BiConsumer<Integer, String> reply);
+                String act,
+                String job,
+                long fence,
+                long run,
+                String body,
+                BiConsumer<Integer, String> reply);
     }
 
     /** One line of what the home says of live jobs. */
@@ -45,6 +53,7 @@
             String id,
             boolean running,
             long fence,
+            int runs,
             long leftUs,
             long wholeUs,
             String prefix,
@@ -129,6 +138,7 @@
                     "JOB_KEEP",
                     job.id,
                     fence,
+                    job.runs,
                     body(new Codec.Out().text(last).i32(kept).blob(n)),
                     (s, t) -> {
                         if (s == 200) {
@@ -168,6 +178,7 @@
                     act,
                     job.id,
                     fence,
+                    job.runs,
                     b.get(),
                     (s, t) -> {
                         if (s == 503) {
@@ -295,6 +306,7 @@
                 "JOB_BACK",
                 l.id,
                 grant,
+                l.runs,
                 body(new Codec.Out().u8(ran.contains(l.id) ? 1 : 0).text("it was let go")),
                 (s, t) -> later.accept(600_000L, () -> starting.remove(l.id)));
     }
@@ -315,6 +327,7 @@
                 "JOB_START",
                 l.id,
                 g,
+                l.runs,
                 me,
                 (s, t) -> {
                     starting.remove(l.id);
--- a/edge/src/main/java/martenloom/edge/replica/ReplicaTable.java
+++ b/edge/src/main/java/martenloom/edge/replica/ReplicaTable.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -37,6 +38,19 @@
     private static final double MAX_EJECTED_SHARE = 0.4;
     private static final double FAR_US = 6_000;
     private static final long OTHERS_US = 1_500_000;
+    private static final int MOST_ENDED = 4_096;
+
+    /**
+     * Replicas that were deregistered: no row of theirs counts again, not even from a home that has
+     * not heard of it.
+     */
+    private final Map<String, Boolean> ended =
+            new LinkedHashMap<>() {
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+                    return size() > MOST_ENDED;
+                }
+            };
 
     /** What this edge knows of one life of a replica. */
     public static final class Slot {
@@ -361,6 +375,11 @@
      * after.
      */
     public void take(FleetRecords.Replica r) {
+        if (r.gone) {
+            ended.put(r.id, true);
+        } else if (ended.containsKey(r.id)) {
+            return;
+        }
         var s = slots.get(r.id);
         if (s == null) {
             if (r.gone) {
--- a/launcher/src/test/java/martenloom/launcher/CoreTest.java
+++ b/launcher/src/test/java/martenloom/launcher/CoreTest.java
@@ -160,6 +160,85 @@
         }
     }
 
+    @Test
+    void aReplicaThatIsDeregisteredFirstGetsNothingMoreFromAnyEdge() {
+        try (var t = new TestCluster(dir, 94, 3)) {
+            var leaving = t.replica("i-a", "plain", 0);
+            t.replica("i-b", "plain", 0);
+            t.replica("i-m", "model", 0);
+            t.startEdge(0);
+            t.startEdge(1);
+            assertEquals(
+                    200,
+                    t.order("POST /configuration/replace", "0", TestCluster.configuration(3, "")));
+            t.awaitReady(0, 1);
+            t.mute(leaving);
+            assertEquals(200, t.operator(0, "POST /instances/i-a/deregister", "", "").status);
+            assertEquals(200, t.operator(1, "POST /instances/i-unknown/deregister", "", "").status);
+            for (var core = 0; core < 3; core++) {
+                assertTrue(
+                        t.askUntil(t.core(core), "replicas", "i-unknown")
+                                .matches("(?s).*i-a plain \\S+ \\S+ gone.*i-unknown\\s+gone.*"),
+                        t.ask(t.core(core), "replicas"));
+                var late = leaving.beat("ready", 0);
+                TestHttpClient.call(
+                        t.control(core),
+                        "POST /instances/i-a/heartbeat HTTP/1.1\r\n"
+                                + "Host: c\r\n"
+                                + "Connection: close\r\n",
+                        late);
+                TestHttpClient.call(
+                        t.control(core),
+                        "POST /instances/i-unknown/heartbeat HTTP/1.1\r\n"
+                                + "Host: c\r\n"
+                                + "Connection: close\r\n",
+                        late);
+            }
+            for (var edge = 0; edge < 2; edge++) {
+                var known = t.ask(t.edge(edge), "replicas");
+                for (var i = 0; i < 200 && known.contains("i-a "); i++) {
+                    known = t.ask(t.edge(edge), "replicas");
+                }
+                assertFalse(known.contains("i-a ") || known.contains("i-unknown"), known);
+                assertEquals(
+                        "seal-i-b",
+                        t.request(edge, "/safe/x", "g" + edge, "", "").fields.get("X-Server-Seal"));
+            }
+            t.kill(t.core(2));
+            t.startCore(2, false);
+            assertTrue(
+                    t.askUntil(t.core(2), "replicas", "i-unknown").contains("i-unknown"),
+                    "known again after a restart");
+        }
+    }
+
+    @Test
+    void anEvacuationIsOrderedAtAnyDaemonAndOrderedAgain() {
+        try (var t = new TestCluster(dir, 95, 3)) {
+            assertEquals(
+                    200,
+                    t.order("POST /configuration/replace", "0", TestCluster.configuration(3, "")));
+            for (var round = 0; round < 3; round++) {
+                for (var core = 0; core < 3; core++) {
+                    assertEquals(
+                            200,
+                            t.operator(core, "POST /evacuations/south-b/start", "", "").status,
+                            "start at " + core + " in round " + round);
+                }
+                assertTrue(t.askUntil(t.core(1), "evacuations", "south-b").contains("south-b"));
+                for (var core = 2; core >= 0; core--) {
+                    assertEquals(
+                            200,
+                            t.operator(core, "POST /evacuations/south-b/finish", "", "").status,
+                            "finish at " + core + " in round " + round);
+                }
+            }
+            for (var core = 0; core < 3; core++) {
+                assertEquals("", t.ask(t.core(core), "evacuations"));
+            }
+        }
+    }
+
     @Test
     void lookupListsNearReadyEdgesAndEdgesServeWithoutTheCore() {
         try (var t = new TestCluster(dir, 75, 3)) {
