--- a/common/src/main/java/martenloom/common/fleet/FleetRecords.java
+++ b/common/src/main/java/martenloom/common/fleet/FleetRecords.java
@@ -17,6 +17,10 @@
     public static final int DUTY_GRANT = 45;
     public static final int HELLO = 46;
     public static final int HEARD = 47;
+
+    /** A flood whose receipt is confirmed by an answer. */
+    public static final int FLOOD_CONFIRMED = 48;
+
     public static final int RENEW = 60;
     public static final int NEWS = 61;
     public static final int CONFIGURATION = 62;
--- a/core/src/main/java/martenloom/core/CoreDaemon.java
+++ b/core/src/main/java/martenloom/core/CoreDaemon.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -19,6 +20,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import martenloom.common.clock.Clocks;
 import martenloom.common.codec.Codec;
@@ -37,6 +39,7 @@
 import martenloom.core.load.LoadAggregator;
 import martenloom.core.placement.PlacementService;
 import martenloom.core.registry.ColdSendLeases;
+import martenloom.core.registry.MajorityReceipt;
 import martenloom.core.registry.Registry;
 import martenloom.core.state.CoreState;
 import martenloom.core.storage.VersionedStore;
@@ -56,6 +59,12 @@
     private static final long ASK_US = 2_500_000;
     private static final long SILENCE_US = 2_000_000;
     private static final long IN_TOUCH_US = 1_500_000;
+
+    /**
+     * How long confirmations are waited for; the replica that asks takes an answer for a second.
+     */
+    private static final long CONFIRM_US = 800_000;
+
     private static final long SUM_US = 100_000;
     private static final int FAR_TURNS = 5;
     private static final int QUIET_TURNS = 5;
@@ -77,7 +86,7 @@
     private final Map<String, PeerLinks.Dial> dials = new TreeMap<>();
     private final Map<String, PeerLinks.Link> homes = new LinkedHashMap<>();
     private final Map<Long, BiConsumer<Integer, String>> localRequests = new HashMap<>();
-    private final PendingRequests<PeerLinks.Link> headRequests =
+    private final PendingRequests<PeerLinks.Link> peerRequests =
             new PendingRequests<>(new SecureRandom().nextLong());
     private final long startUs = Clocks.nowUs();
     private final boolean restored;
@@ -172,7 +181,7 @@
                         settings,
                         registry,
                         this::handOver,
-                        this::flood,
+                        this::tellMajority,
                         () -> table(chain.committed()),
                         chain::committed,
                         this::outside,
@@ -225,6 +234,48 @@
         dials.values().forEach(d -> d.check(SILENCE_US));
     }
 
+    /**
+     * Tells everybody at once that a replica drains or has ended, and says whether a majority of
+     * the roster confirmed it in time. Those that confirm tell their edges and the other daemons,
+     * so an edge that does not hear of it has lost its home and is about to leave it.
+     */
+    private void tellMajority(String replica, Consumer<Boolean> confirmed) {
+        var now = Clocks.nowUs();
+        var roster = chain.committed().roster;
+        var receipt = new MajorityReceipt(roster, confirmed);
+        var news = registry.rowFlood(replica, now);
+        var sent = new ArrayList<PendingRequests.RequestId>();
+        for (var member : roster) {
+            var link = Optional.ofNullable(dials.get(member)).flatMap(PeerLinks.Dial::link);
+            link.ifPresent(l -> sent.add(sendConfirmed(l, news, () -> receipt.receivedBy(member))));
+        }
+        flood();
+        receipt.receivedBy(settings.ip);
+        Clocks.after(
+                loop,
+                CONFIRM_US,
+                () -> {
+                    sent.forEach(id -> peerRequests.expire(id, "not confirmed in time"));
+                    receipt.timedOut();
+                });
+    }
+
+    private PendingRequests.RequestId sendConfirmed(
+            PeerLinks.Link link, byte[] flood, Runnable received) {
+        var id =
+                peerRequests.open(
+                        link,
+                        (status, text) -> {
+                            if (status == 200) {
+                                received.run();
+                            }
+                        });
+        var out = new Codec.Out(FleetRecords.FLOOD_CONFIRMED);
+        id.write(out);
+        link.send(out.blob(flood).bytes());
+        return id;
+    }
+
     private void flood() {
         var now = Clocks.nowUs();
         registry.pollFlood(now).ifPresent(b -> dials.values().forEach(d -> d.send(b)));
@@ -472,13 +523,13 @@
             return;
         }
         var head = link.get();
-        var id = headRequests.open(head, reply);
+        var id = peerRequests.open(head, reply);
         var o = new Codec.Out(FleetRecords.ASK);
         id.write(o);
         c.write(o);
         head.send(o.bytes());
         Clocks.after(
-                loop, ASK_US, () -> headRequests.expire(id, "no reply from the head " + head.peer));
+                loop, ASK_US, () -> peerRequests.expire(id, "no reply from the head " + head.peer));
     }
 
     /** Answers a request on the link on which it came, under the id that its sender gave it. */
@@ -511,6 +562,11 @@
             }
             case FleetRecords.HEARD -> {}
             case FleetRecords.FLOOD -> onFlood(l, in);
+            case FleetRecords.FLOOD_CONFIRMED -> {
+                var id = PendingRequests.RequestId.read(in);
+                onFlood(l, new Codec.In(in.blob(), true));
+                answer(l, id, 200, "");
+            }
             case FleetRecords.DIGEST ->
                     registry.mend(in, Clocks.nowUs())
                             .ifPresent(
@@ -522,7 +578,7 @@
                 askHere(CoreState.Change.read(in), (s, x) -> answer(l, id, s, x));
             }
             case FleetRecords.ANSWER -> {
-                if (!headRequests.answered(
+                if (!peerRequests.answered(
                         PendingRequests.RequestId.read(in), l, in.i32(), in.text())) {
                     RingLog.note("link " + l.peer + ": an answer to no request of ours is dropped");
                 }
@@ -779,7 +835,7 @@
 
     @Override
     public void onClosed(PeerLinks.Link l) {
-        headRequests.closed(l, "the link to " + l.peer + " closed before an answer");
+        peerRequests.closed(l, "the link to " + l.peer + " closed before an answer");
         if (l.tag instanceof String ip && homes.get(ip) == l) {
             homes.remove(ip);
             routesSent.remove(ip);
--- a/core/src/main/java/martenloom/core/api/ControlApi.java
+++ b/core/src/main/java/martenloom/core/api/ControlApi.java
@@ -18,6 +18,7 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import martenloom.common.clock.Clocks;
@@ -50,11 +51,17 @@
         void ask(CoreState.Change c, BiConsumer<Integer, String> reply);
     }
 
+    /** Tells all that a replica drains or has ended, and then whether a majority knows it. */
+    @FunctionalInterface
+    public interface EndNotice {
+        void tell(String replica, Consumer<Boolean> majorityKnows);
+    }
+
     private final Eventloop loop;
     private final Settings settings;
     private final Registry registry;
     private final OrderForwarder chain;
-    private final Runnable flood;
+    private final EndNotice endNotice;
     private final Supplier<RouteTable> table;
     private final Supplier<CoreState> committed;
     private final Function<Set<String>, String> outside;
@@ -65,7 +72,7 @@
             Settings settings,
             Registry registry,
             OrderForwarder chain,
-            Runnable flood,
+            EndNotice endNotice,
             Supplier<RouteTable> table,
             Supplier<CoreState> committed,
             Function<Set<String>, String> outside,
@@ -74,7 +81,7 @@
         this.settings = settings;
         this.registry = registry;
         this.chain = chain;
-        this.flood = flood;
+        this.endNotice = endNotice;
         this.table = table;
         this.committed = committed;
         this.outside = outside;
@@ -103,8 +110,8 @@
             case "POST evacuations/*/finish" -> evacuation(seg[2], CoreState.Act.EVAC_FINISH);
             case "POST placements/*/*/unload", "POST placements/*/*/load" ->
                     placement(seg[2], seg[3], seg[4]);
-            case "POST instances/*/heartbeat" -> body(q).then(b -> Promise.of(beat(seg[2], b)));
-            case "POST instances/*/deregister" -> Promise.of(deregister(seg[2]));
+            case "POST instances/*/heartbeat" -> body(q).then(b -> beat(seg[2], b));
+            case "POST instances/*/deregister" -> deregister(seg[2]);
             case "POST jobs/*/submit" -> body(q).then(b -> submit(seg[2], b));
             case "GET jobs" -> ask(new CoreState.Change(CoreState.Act.JOB_LIST, 0, "", ""));
             case "GET jobs/*/describe" -> job(CoreState.Act.JOB_GET, seg[2]);
@@ -309,7 +316,7 @@
 
     // ---- replicas
 
-    private HttpResponse beat(String id, String text) {
+    private Promise<HttpResponse> beat(String id, String text) {
         try {
             var now = Clocks.nowUs();
             var c = Configurations.body(text);
@@ -335,11 +342,12 @@
             registry.take(r, true);
             if (r.draining) {
                 RingLog.note("replica " + r.id + " drains");
-                return toldToAll();
+                return acknowledgedByMajority(r.id);
             }
-            return plain(200, "{}");
+            return Promise.of(plain(200, "{}"));
         } catch (Fault | com.typesafe.config.ConfigException e) {
-            return plain(400, "beat: " + String.valueOf(e.getMessage()).replace('\n', ' '));
+            var why = String.valueOf(e.getMessage()).replace('\n', ' ');
+            return Promise.of(plain(400, "beat: " + why));
         }
     }
 
@@ -347,26 +355,32 @@
      * Ends a replica for good, also one that is not known here yet: its beats may come later than
      * this.
      */
-    private HttpResponse deregister(String id) {
+    private Promise<HttpResponse> deregister(String id) {
         var instance = URLDecoder.decode(id, StandardCharsets.UTF_8);
         if (!instance.matches(INSTANCE_ID)) {
-            return plain(400, "instance: 1 to 256 printable characters are expected");
+            var why = "instance: 1 to 256 printable characters are expected";
+            return Promise.of(plain(400, why));
         }
         RingLog.note("replica " + instance + " is deregistered");
         registry.bury(instance, Clocks.nowUs());
-        return toldToAll();
+        return acknowledgedByMajority(instance);
     }
 
     /**
-     * Tells all daemons and edges that a replica drains or has ended, then acknowledges it. A
-     * daemon that is cut off from the majority has told those it can reach, but cannot promise that
-     * all know, so it gives no acknowledgement and the replica turns to another.
+     * Acknowledges that a replica drains or has ended once a majority of the core knows it. A
+     * daemon that is cut off has told those it can reach, but cannot promise that all will know in
+     * time, so it gives no acknowledgement and the replica turns to another.
      */
-    private HttpResponse toldToAll() {
-        flood.run();
-        return inTouch.getAsBoolean()
-                ? plain(200, "{}")
-                : plain(503, "this daemon is cut off, ask another");
+    private Promise<HttpResponse> acknowledgedByMajority(String replica) {
+        var answer = new SettablePromise<HttpResponse>();
+        endNotice.tell(
+                replica,
+                known ->
+                        answer.set(
+                                known
+                                        ? plain(200, "{}")
+                                        : plain(503, "no majority confirmed it, ask another")));
+        return answer;
     }
 
     // ---- clients
--- a/core/src/main/java/martenloom/core/registry/Registry.java
+++ b/core/src/main/java/martenloom/core/registry/Registry.java
@@ -253,6 +253,11 @@
         return Optional.of(b);
     }
 
+    /** A flood of the row of this replica alone, as it is known here. */
+    public byte[] rowFlood(String id, long now) {
+        return flood(replica(id).stream().toList(), List.of(), now);
+    }
+
     private static byte[] flood(
             Collection<FleetRecords.Replica> rs, Collection<FleetRecords.Edge> es, long now) {
         return new Codec.Out(FleetRecords.FLOOD)
--- /dev/null
+++ b/core/src/test/java/martenloom/core/registry/MajorityReceiptTest.java
@@ -0,0 +1,34 @@
+package martenloom.core.registry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** When a majority is said to know. */
+final class MajorityReceiptTest {
+    private final List<Boolean> told = new ArrayList<>();
+
+    @Test
+    void aMajorityOfTheRosterDecidesOnce() {
+        var receipt = new MajorityReceipt(List.of("a", "b", "c", "d"), told::add);
+        receipt.receivedBy("a");
+        receipt.receivedBy("b");
+        receipt.receivedBy("b");
+        receipt.receivedBy("stranger");
+        assertEquals(List.of(), told);
+        receipt.receivedBy("c");
+        receipt.receivedBy("d");
+        receipt.timedOut();
+        assertEquals(List.of(true), told);
+    }
+
+    @Test
+    void lateReceiptsDoNotUndoAFailure() {
+        var receipt = new MajorityReceipt(List.of("a"), told::add);
+        receipt.timedOut();
+        receipt.receivedBy("a");
+        assertEquals(List.of(false), told);
+    }
+}
--- a/launcher/src/test/java/martenloom/launcher/CoreTest.java
+++ b/launcher/src/test/java/martenloom/launcher/CoreTest.java
@@ -212,6 +212,41 @@
         }
     }
 
+    @Test
+    void aDaemonThatReachesNoMajorityAcknowledgesNoDrain() {
+        try (var t = new TestCluster(dir, 96, 3)) {
+            var leaving = t.replica("i-a", "plain", 0);
+            t.mute(leaving);
+            assertEquals(
+                    200,
+                    t.order("POST /configuration/replace", "0", TestCluster.configuration(3, "")));
+            assertEquals(200, t.beat(leaving, "ready", 0));
+            assertTrue(t.askUntil(t.core(0), "chain", "head 127").contains("head 127"));
+            t.freeze(t.core(1));
+            t.freeze(t.core(2));
+            assertEquals(503, drain(t, leaving), "nobody else knows of it");
+            assertEquals(503, t.operator(0, "POST /instances/i-a/deregister", "", "").status);
+            t.thaw(t.core(1));
+            t.thaw(t.core(2));
+            var status = 503;
+            for (var i = 0; i < 40 && status == 503; i++) {
+                status = drain(t, leaving);
+            }
+            assertEquals(200, status);
+            assertTrue(
+                    t.ask(t.core(1), "replicas").contains("gone")
+                            || t.ask(t.core(2), "replicas").contains("gone"));
+        }
+    }
+
+    private static int drain(TestCluster t, StandInReplica replica) {
+        var call =
+                "POST /instances/"
+                        + replica.id
+                        + "/heartbeat HTTP/1.1\r\nHost: c\r\nConnection: close\r\n";
+        return TestHttpClient.call(t.control(0), call, replica.beat("draining", 0)).status;
+    }
+
     @Test
     void anEvacuationIsOrderedAtAnyDaemonAndOrderedAgain() {
         try (var t = new TestCluster(dir, 95, 3)) {
