--- a/edge/src/main/java/martenloom/edge/Departure.java
+++ b/edge/src/main/java/martenloom/edge/Departure.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import martenloom.common.clock.Clocks;
 import martenloom.common.settings.Settings;
+import martenloom.edge.dispatch.ClientConnection;
 import martenloom.edge.dispatch.RequestDispatcher;
 
 /**
@@ -22,9 +23,6 @@
     /** A request that is whole here by then was surely sent within three seconds of the SIGTERM. */
     private static final long CUT_FORGIVEN_US = 2_800_000;
 
-    /** How long idle connections may rest before they are closed. */
-    private static final long IDLE_CLOSE_US = 1_000_000;
-
     /** What is left of the grace period when all that is still in hand is ended. */
     private static final long END_BEFORE_KILL_US = 700_000;
 
@@ -63,7 +61,7 @@
         this.stopListening = stopListening;
         var graceUs = (long) (bounds.graceS * 1e6);
         limitRequestsUs = Math.min(CUT_FORGIVEN_US, graceUs / 2);
-        closeConnectionsUs = Math.max(0, limitRequestsUs - IDLE_CLOSE_US);
+        closeConnectionsUs = Math.max(0, limitRequestsUs - ClientConnection.IDLE_WHILE_LEAVING_US);
         endAllUs = Math.max(0, graceUs - END_BEFORE_KILL_US);
         endWhenFreeUs =
                 Math.max(
--- a/edge/src/main/java/martenloom/edge/dispatch/ClientConnection.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/ClientConnection.java
@@ -30,6 +30,9 @@
      */
     private static final long CUT_FLUSH_US = 200_000;
 
+    /** How long a connection may rest at an edge that leaves before it is closed. */
+    public static final long IDLE_WHILE_LEAVING_US = 1_000_000;
+
     private static final byte[] LAST = "0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
 
     /** What the client side needs of the dispatcher. */
@@ -276,7 +279,10 @@
         var age = now - sinceUs;
         if (state == State.HEAD
                 && wire.size() == 0
-                && age > (dispatcher.leaving() ? 1_000_000 : l.idleMs * 1000L + 1_000_000)) {
+                && age
+                        > (dispatcher.leaving()
+                                ? IDLE_WHILE_LEAVING_US
+                                : l.idleMs * 1000L + 1_000_000)) {
             wire.close();
         } else if (state == State.HEAD && wire.size() > 0 && age > l.headMs * 1000L + 500_000
                 || state == State.BODY && age > l.idleMs * 1000L) {
--- a/edge/src/main/java/martenloom/edge/dispatch/RequestDispatcher.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/RequestDispatcher.java
@@ -1,11 +1,7 @@
 package martenloom.edge.dispatch;
 
 import io.activej.eventloop.Eventloop;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -14,7 +10,6 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
-import java.util.TreeMap;
 import martenloom.common.clock.Clocks;
 import martenloom.common.fleet.FleetRecords;
 import martenloom.common.load.LoadSummary;
@@ -30,13 +25,11 @@
 
 /**
  * The owner of all requests at this edge. Clients and attempts tell it events; it answers with
- * commands: a attempt to a replica, a wait in the queue, an answer, a cut. Admission, further
+ * commands: an attempt at a replica, a wait in the queue, an answer, a cut. Admission, further
  * attempts and their budget are decided here; which replica is the chooser's.
  */
-public final class RequestDispatcher implements ClientConnection.RequestDispatcher, Attempt.Owner {
-    private static final int QUEUE = 1024;
-    private static final long WONDER_US = 250_000;
-
+public final class RequestDispatcher
+        implements ClientConnection.RequestDispatcher, Attempt.Owner, RequestQueues.Owner {
     private final Eventloop loop;
     private final Settings settings;
     public final ReplicaTable replicaTable;
@@ -44,15 +37,12 @@
     public final PrefixOwners places = new PrefixOwners();
     public final Overload.Receiver reports = new Overload.Receiver();
     private final Set<ClientConnection> clients = new LinkedHashSet<>();
-    private final Map<String, Deque<Request>> queues = new TreeMap<>();
+    private final RequestQueues queues = new RequestQueues(this);
+    private final SilenceWatch silence = new SilenceWatch(this::table, this::move);
     private final Map<Request, Clocks.Timer> deadlines = new HashMap<>();
     private final ReplicaSelector chooser;
     private boolean leaving;
-
-    /** While this edge leaves: when everything that is in hand will be ended. */
-    private long endAllUs = Long.MAX_VALUE;
-
-    private final LongestSeen longest = new LongestSeen();
+    private final LateRequestPolicy late = new LateRequestPolicy();
     private final long startUs = Clocks.nowUs();
     private int ticket = new Random().nextInt(1 << 20);
     public final Counters counters = new Counters();
@@ -122,7 +112,7 @@
      * they are whole; the others are refused.
      */
     public void takeOnlyUntil(long endUs) {
-        endAllUs = endUs;
+        late.takeOnlyUntil(endUs);
     }
 
     /**
@@ -248,13 +238,13 @@
                         body,
                         route.get(),
                         route.get().service(ticket += 61),
-                        sinkOf(r, route.get(), now),
+                        late.sink(r, route.get(), now),
                         r.beganUs(),
                         now);
         r.request = Optional.of(e);
         budget.request(e.service, now);
         replicaTable.weigh(e);
-        if (e.deadlineUs <= now + 1000 || tooLate(e, now)) {
+        if (e.deadlineUs <= now + 1000 || late.tooLate(e, now)) {
             refuse(e, 0.1);
             return;
         }
@@ -264,18 +254,6 @@
         }
     }
 
-    private Request.Sink sinkOf(ClientConnection r, RouteTable.Route route, long now) {
-        var mayBeCut = route.kind == RouteTable.Kind.STREAMING && now + route.timeoutUs > endAllUs;
-        return mayBeCut
-                ? new WithheldStream(r, ClientConnection.plain(route.repeatable() ? 503 : 504, ""))
-                : r;
-    }
-
-    private boolean tooLate(Request e, long now) {
-        return e.deadlineUs > endAllUs
-                && now + longest.longestUs(e.route.name, e.route.aimUs, now) > endAllUs;
-    }
-
     // ---- deferred jobs
 
     /**
@@ -321,7 +299,8 @@
 
     // ---- queue
 
-    private long holdUs(Request e) {
+    @Override
+    public long holdUs(Request e) {
         if (chooser.asleep(e)) {
             return (e.deadlineUs - e.arrivedUs) / 2;
         }
@@ -329,49 +308,17 @@
     }
 
     private void enqueue(Request e, long now) {
-        var box = queues.computeIfAbsent(e.service, k -> new ArrayDeque<>());
         if (e.deferred > 0) {
             giveUp(e);
         } else if (e.sent > 0 && e.mayHaveRun && !e.route.repeatable()) {
             fail(e, 502);
-        } else if (box.size() >= QUEUE) {
+        } else if (!queues.add(e)) {
             refuse(e, 1);
-        } else {
-            box.addLast(e);
-        }
-    }
-
-    private void drainQueues(long now) {
-        for (var box : queues.values()) {
-            if (box.isEmpty()) {
-                continue;
-            }
-            var l = new ArrayList<>(box);
-            l.sort(
-                    Comparator.comparingInt((Request e) -> e.route.rank)
-                            .thenComparingLong(e -> e.arrivedUs));
-            box.clear();
-            for (var e : l) {
-                if (e.done()) {
-                    continue;
-                }
-                if (dispatch(e, now)) {
-                    continue;
-                }
-                var limit =
-                        e.sent > 0
-                                ? Math.max(holdUs(e), (e.deadlineUs - e.arrivedUs) / 2)
-                                : holdUs(e);
-                if (now - e.arrivedUs > limit) {
-                    refuse(e, 0.4);
-                } else {
-                    box.addLast(e);
-                }
-            }
         }
     }
 
-    private boolean dispatch(Request e, long now) {
+    @Override
+    public boolean dispatch(Request e, long now) {
         var s = chooser.choose(e, now);
         if (s.isEmpty()) {
             return false;
@@ -506,7 +453,7 @@
         }
         var now = Clocks.nowUs();
         answered(l.slot, true, now);
-        longest.took(e.route.name, now - e.arrivedUs, now);
+        late.onAnswered(e, now);
         finish(e);
         counters.served++;
         e.sink.event(rest);
@@ -544,7 +491,7 @@
             fail(e, 502);
             return;
         }
-        longest.took(e.route.name, now - e.arrivedUs, now);
+        late.onAnswered(e, now);
         finish(e);
         counters.served++;
         h.dropHop();
@@ -653,7 +600,8 @@
         }
     }
 
-    private void refuse(Request e, double waitS) {
+    @Override
+    public void refuse(Request e, double waitS) {
         if (e.state() == Request.State.STREAMING) {
             cutOff(e);
             return;
@@ -717,12 +665,12 @@
     private boolean roomPosted;
 
     private void room() {
-        if (!roomPosted && queues.values().stream().anyMatch(b -> !b.isEmpty())) {
+        if (!roomPosted && queues.anyWaits()) {
             roomPosted = true;
             loop.post(
                     () -> {
                         roomPosted = false;
-                        drainQueues(Clocks.nowUs());
+                        queues.drain(Clocks.nowUs());
                     });
         }
     }
@@ -732,9 +680,9 @@
     /** Every 20 ms: the queues, and replicas that have gone quiet with attempts in hand. */
     public void tick() {
         var now = Clocks.nowUs();
-        drainQueues(now);
+        queues.drain(now);
         for (var s : List.copyOf(replicaTable.all())) {
-            quiet(s, now);
+            silence.check(s, now);
         }
     }
 
@@ -752,53 +700,6 @@
         }
     }
 
-    private void quiet(ReplicaTable.Slot s, long now) {
-        if (s.attempts.isEmpty() || s.quietSinceUs == 0 && now - s.heardUs < 300_000) {
-            s.wondering = false;
-            return;
-        }
-        var first = s.attempts.stream().filter(l -> l.sentUs > 0).mapToLong(l -> l.sentUs).min();
-        var since = Math.max(s.heardUs, first.orElse(now));
-        var patience = patience(s);
-        s.wondering = now - since > Math.max(patience / 2, patience - WONDER_US);
-        if (now - since < patience || s.othersHear(now) && now - since < patience * 2) {
-            return;
-        }
-        if (s.suspectUntilUs < now) {
-            RingLog.note(
-                    "replica " + s.row.id + " is quiet with " + s.attempts.size() + " attempts");
-        }
-        s.suspectUntilUs = Math.max(s.suspectUntilUs, now + 500_000);
-        s.doubtful = true;
-        for (var l : List.copyOf(s.attempts)) {
-            move(l, now);
-        }
-    }
-
-    /**
-     * How long a replica with attempts in hand may say nothing. One event of a stream holds some
-     * tokens, and between any two of them a piece of another prompt may be read, so a stream that
-     * runs may pause for as many pieces.
-     */
-    private long patience(ReplicaTable.Slot s) {
-        var svc = table().services.get(s.row.service);
-        if (svc == null || !svc.engine) {
-            return (long) Math.max(200_000, s.workUs * 5 + s.rttUs);
-        }
-        var unread = s.unread + s.othersUnread(Clocks.nowUs());
-        for (var l : s.attempts) {
-            if (l.started()) {
-                return (long)
-                        (450_000
-                                + s.rttUs
-                                + Math.min(unread, ReplicaTable.PIECE * svc.stepSize)
-                                        / s.rate
-                                        * 1000);
-            }
-        }
-        return (long) (500_000 + s.rttUs + unread / s.rate * 2000);
-    }
-
     /**
      * Takes a repeatable request off a replica that has gone quiet, when another replica and the
      * budget allow.
