--- a/core/src/main/java/martenloom/core/CoreDaemon.java
+++ b/core/src/main/java/martenloom/core/CoreDaemon.java
@@ -1,7 +1,10 @@
 package martenloom.core;
 
 import io.activej.eventloop.Eventloop;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpResponse;
 import io.activej.http.HttpServer;
+import io.activej.promise.Promise;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -18,6 +21,8 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Predicate;
 import martenloom.common.clock.Clocks;
@@ -58,6 +63,22 @@
     private static final int FAR_TURNS = 5;
     private static final int QUIET_TURNS = 5;
     private static final long WANT_US = 350_000;
+    private static final long LEAVE_AGAIN_US = 200_000;
+
+    /** So much of the grace period is left for the end of the process itself. */
+    private static final long END_US = 900_000;
+
+    private static final long ANSWERS_US = 900_000;
+    private static final long FLUSH_MS = 300;
+
+    /**
+     * What edges are told about the age of our knowledge while we leave, so that they choose
+     * another home.
+     */
+    private static final long FAR_TOO_OLD_US = 3_600_000_000L;
+
+    /** A core daemon outside the roster that was not reached for so long is forgotten. */
+    private static final long FORGET_US = 20_000_000;
 
     /**
      * Edges use even shares up to as many edges as sends; homes lend only when there are clearly
@@ -96,7 +117,7 @@
         store = new VersionedStore(folder);
         var kept = store.load();
         var disk = kept.map(ChainCore.MemberState::of);
-        if (disk.isEmpty() && p.bootstrap && founder()) {
+        if (disk.isEmpty() && !store.damaged() && p.bootstrap && founder()) {
             disk =
                     Optional.of(
                             new ChainCore.MemberState(
@@ -177,7 +198,7 @@
         if (settings.listen.containsKey("Directory")) {
             at.add(Settings.address("Directory", settings.need("Directory")));
         }
-        HttpServer.builder(loop, controlApi)
+        HttpServer.builder(loop, q -> leaving ? Promise.of(goElsewhere()) : controlApi.serve(q))
                 .withListenAddresses(List.copyOf(at))
                 .withKeepAliveTimeout(Duration.ofSeconds(30))
                 .withMaxBodySize(16 << 20)
@@ -197,6 +218,90 @@
         dials.values().forEach(PeerLinks.Dial::stop);
     }
 
+    // ---- leaving in order
+
+    private boolean leaving;
+    private boolean leaveTaken;
+    private long releasedUs;
+
+    /**
+     * Called from another thread at SIGTERM. Sends callers and edges elsewhere, has this member
+     * leave the chain, and returns when the chain without it has accepted all that was
+     * acknowledged, or when the grace is nearly over.
+     */
+    public void leave() {
+        var done = new CountDownLatch(1);
+        var graceUs = (long) (settings.bounds.graceS * 1_000_000);
+        var endUs = Clocks.nowUs() + graceUs - END_US;
+        loop.execute(
+                () -> {
+                    RingLog.note("leaving");
+                    leaving = true;
+                    chain.onLeave(Clocks.nowUs());
+                    leaveStep(endUs, done);
+                });
+        try {
+            done.await(graceUs / 1000 - END_US / 2000, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        store.flush(FLUSH_MS);
+    }
+
+    private void leaveStep(long endUs, CountDownLatch done) {
+        var now = Clocks.nowUs();
+        if (mayEnd(now) || now >= endUs) {
+            RingLog.note("left " + (now < endUs ? "in order" : "at the end of the grace period"));
+            done.countDown();
+            return;
+        }
+        if (releasedUs == 0) {
+            handOver(
+                    new CoreState.Change(CoreState.Act.LEAVE, 0, settings.ip, ""),
+                    (status, text) -> leaveTaken |= status == 200);
+        }
+        Clocks.after(loop, LEAVE_AGAIN_US, () -> leaveStep(endUs, done));
+    }
+
+    /**
+     * Not before the chain can do without us, and then when the answers that callers wait for have
+     * come, or soon after.
+     */
+    private boolean mayEnd(long now) {
+        if ((leaveTaken || chain.mode() == ChainCore.Mode.LEARNING) && chain.released(now)) {
+            releasedUs = releasedUs == 0 ? now : releasedUs;
+        }
+        return releasedUs > 0 && (asked.isEmpty() || now - releasedUs > ANSWERS_US);
+    }
+
+    private static HttpResponse goElsewhere() {
+        return HttpResponse.ofCode(503)
+                .withHeader(HttpHeaders.CONNECTION, "close")
+                .withHeader(HttpHeaders.RETRY_AFTER, "1")
+                .withPlainText("this daemon is leaving")
+                .build();
+    }
+
+    // ---- links to other core daemons
+
+    /** Forgets who is neither in the roster nor a seed and was not reached for a while. */
+    private void forgetGone(long now) {
+        var needed = new TreeSet<>(chain.memberState().state.roster);
+        needed.addAll(chain.committed().roster);
+        needed.addAll(seedIps());
+        for (var ip : List.copyOf(dials.keySet())) {
+            if (needed.contains(ip) || dials.get(ip).link().isPresent()) {
+                reachedUs.put(ip, now);
+            } else if (now - reachedUs.computeIfAbsent(ip, k -> now) > FORGET_US) {
+                dials.remove(ip).stop();
+                reachedUs.remove(ip);
+                regions.remove(ip);
+            }
+        }
+    }
+
+    private final Map<String, Long> reachedUs = new HashMap<>();
+
     private void dial(String ip) {
         if (ip.equals(settings.ip) || dials.containsKey(ip)) {
             return;
@@ -263,6 +368,7 @@
             up.get(turn++ % up.size()).send(b);
         }
         seedIps().forEach(this::dial);
+        forgetGone(Clocks.nowUs());
         var beat =
                 new Codec.Out(FleetRecords.HELLO)
                         .text(settings.ip)
@@ -444,7 +550,14 @@
                 .bytes();
     }
 
+    /**
+     * Nothing is handed out as current that may be old: the edge is told our age with every
+     * renewal, and goes elsewhere.
+     */
     private void configurationWhole(String ip, PeerLinks.Link l) {
+        if (!chain.fresh(Clocks.nowUs())) {
+            return;
+        }
         var s = chain.committed();
         l.send(configuration(s, true));
         routesSent.put(ip, s.revision);
@@ -465,7 +578,7 @@
             return;
         }
         var d = Optional.ofNullable(dials.get(chain.head())).filter(x -> x.link().isPresent());
-        if (d.isEmpty() || chain.staleUs(Clocks.nowUs()) > 1_500_000) {
+        if (d.isEmpty() || !chain.fresh(Clocks.nowUs())) {
             reply.accept(503, "no head is known at " + settings.ip);
             return;
         }
@@ -495,7 +608,7 @@
     @Override
     public void onRecord(PeerLinks.Link l, byte[] record) {
         var t = record[0];
-        if (t <= ChainCore.STEP) {
+        if (t <= ChainCore.LAST_TYPE) {
             chain.onRecord(Clocks.nowUs(), l.peer, record);
             carryOut();
             return;
@@ -506,10 +619,10 @@
                 l.peer = in.text();
                 regions.put(l.peer, in.text());
                 mostEdges = Math.max(mostEdges, in.i32());
-                l.send(new Codec.Out(FleetRecords.HEARD).bytes());
+                l.send(new Codec.Out(FleetRecords.HEARD).texts(cores()).bytes());
                 dial(l.peer);
             }
-            case FleetRecords.HEARD -> {}
+            case FleetRecords.HEARD -> in.texts().forEach(this::dial);
             case FleetRecords.FLOOD -> registry.takeFlood(in, Clocks.nowUs());
             case FleetRecords.DIGEST ->
                     registry.mend(in, Clocks.nowUs())
@@ -555,9 +668,12 @@
         registry.take(e, true);
         if (homes.put(e.ip, l) != l) {
             l.tag = e.ip;
-            configurationWhole(e.ip, l);
+            routesSent.remove(e.ip);
             l.send(registry.rows(registry.replicas(), true, now));
         }
+        if (!routesSent.containsKey(e.ip)) {
+            configurationWhole(e.ip, l);
+        }
         l.send(news(now, stamp, e, cold));
         jobs(e.region, holder, now).ifPresent(l::send);
         wants.forEach(k -> passWant(k, holder, stamp, now));
@@ -572,7 +688,7 @@
                 new Codec.Out(FleetRecords.NEWS)
                         .i64(stamp)
                         .i64(now - startUs + (restored ? 10_000_000 : 0))
-                        .i64(chain.staleUs(now))
+                        .i64(leaving ? FAR_TOO_OLD_US : chain.staleUs(now))
                         .i64(s.edition)
                         .i32(registry.edgeDigest())
                         .i32(mostEdges)
@@ -694,9 +810,10 @@
         handOver(full, (s, t) -> answerPeer(l, id, s, t));
     }
 
+    /** The roster and who is reached beside it: where an edge or a new core daemon may turn to. */
     private Collection<String> cores() {
         var c = new TreeSet<>(chain.committed().roster);
-        c.addAll(dials.keySet());
+        dials.forEach((ip, d) -> d.link().ifPresent(l -> c.add(ip)));
         c.add(settings.ip);
         return c;
     }
--- a/core/src/main/java/martenloom/core/chain/ChainCore.java
+++ b/core/src/main/java/martenloom/core/chain/ChainCore.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.Deque;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -12,6 +13,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import martenloom.common.codec.Codec;
 import martenloom.core.state.CoreState;
 
@@ -40,6 +42,10 @@
     public static final int PULL = 10;
     public static final int SNAPSHOT = 11;
     public static final int STEP = 12;
+    public static final int HANDOVER = 13;
+
+    /** The highest type of a record of the chain; higher numbers belong to others. */
+    public static final int LAST_TYPE = HANDOVER;
 
     private static final long HEARTBEAT_US = 200_000;
     private static final long SILENT_US = 900_000;
@@ -50,15 +56,35 @@
     private static final long BID_US = 1_200_000;
     private static final long SICK_DISK_US = 800_000;
     private static final long RESEND_US = 400_000;
+    private static final long PULL_US = 1_000_000;
     private static final long SETTLE_US = 1_000_000;
     private static final int QUEUE = 256;
 
+    /** The number of an order that the head gives itself. */
+    private static final long OWN_ASK = -1;
+
+    /** So long someone outside the chain is heard before a new view is begun for it. */
+    private static final long HEARD_US = 300_000;
+
+    private static final long MISSING_US = 1_000_000;
+    private static final long DEPARTED_US = 10_000_000;
+    private static final long LEAVER_EXPIRES_US = 3_000_000;
+    private static final long LEAVE_SETTLE_US = 500_000;
+    private static final long LEAVER_BIDS_LATER_US = 1_200_000;
+    private static final long NEWCOMERS_JOIN_US = 2_500_000;
+
     /**
-     * A member of the roster that was not heard for so long, by one head all the time, is taken off
-     * when it is replaced.
+     * A member of an odd roster that was missed for so long, by one head all the time, is taken off
+     * though nobody replaced it.
      */
     public static final long GONE_US = 120_000_000;
 
+    /**
+     * A member that has had no proof of a majority for longer than this neither hands out what it
+     * knows as current nor passes orders on. See docs/control-safety.md for the derivation.
+     */
+    public static final long STALE_US = 1_500_000;
+
     /** A view's name; the higher number wins, then the address. */
     public record Ballot(long n, String who) implements Comparable<Ballot> {
         public static final Ballot ZERO = new Ballot(0, "");
@@ -143,6 +169,18 @@
         final Map<String, Long> learners = new TreeMap<>();
         final Set<String> asked = new TreeSet<>();
 
+        /** Who is to join beside the roster, as the bidder knew at its start. */
+        final Set<String> candidates = new TreeSet<>();
+
+        /** Who promised, but is about to end. */
+        final Set<String> leaving = new TreeSet<>();
+
+        /**
+         * The view whose head told this bidder to take over, so that its members need not be silent
+         * first.
+         */
+        Ballot released = Ballot.ZERO;
+
         Bid(Ballot b, long now) {
             this.b = b;
             startUs = now;
@@ -194,6 +232,23 @@
     private String headSeen = "";
     private List<String> chainSeen = List.of();
     private long newsSentUs;
+    private boolean leaving;
+    private boolean released;
+    private long leavingSinceUs;
+    private Ballot handedOver = Ballot.ZERO;
+    private long handOverSentUs;
+    private long pulledUs;
+    private long formedUs;
+
+    /**
+     * The view in which the state that opens this one was accepted, and who promised with just that
+     * state.
+     */
+    private Ballot basis = Ballot.ZERO;
+
+    private List<String> holders = List.of();
+    private final Map<String, Long> leavers = new TreeMap<>();
+    private long leaverSinceUs;
 
     public ChainCore(
             String me, long nonce, Optional<MemberState> disk, Comparator<String> near, long now) {
@@ -209,6 +264,7 @@
         topN = memberState.promised.n;
         clockSinceUs = now;
         heardUs = now - SILENT_US;
+        pulledUs = now - PULL_US;
         quietUntil = now + 150_000;
     }
 
@@ -256,9 +312,44 @@
         return viewSinceUs;
     }
 
-    /** Time since this member last knew that a majority held together. */
+    /**
+     * Time since the newest moment at which a majority is known to have held together: the sending
+     * of the newest heartbeat that ran the whole chain, as the head knows it, or as it told its
+     * followers with the age that it had then.
+     */
     public long staleUs(long t) {
-        return t - (mode == Mode.HEADING ? heartbeatAckUs : toldUs);
+        return t - (mode == Mode.HEADING ? provenUs : toldUs);
+    }
+
+    /** Whether what this member knows may be handed out as current. */
+    public boolean fresh(long t) {
+        return staleUs(t) <= STALE_US;
+    }
+
+    // ---- leaving in order
+
+    /**
+     * The process is about to end: from now on this member takes part only where its promise is
+     * needed. The owner hands the change LEAVE with this member as its subject to the head, again
+     * and again, until released() holds.
+     */
+    public void onLeave(long t) {
+        now = Math.max(now, t);
+        leaving = true;
+        leavingSinceUs = now;
+    }
+
+    /**
+     * Whether this member may end once its order to leave was taken: a chain without it is known to
+     * have accepted all that was acknowledged. That ceases to hold when another view is begun with
+     * this member's promise, which may need it. If all members of the roster leave, nobody is
+     * waited for, once newcomers have had the time to join.
+     */
+    public boolean released(long t) {
+        var nobodyStays = committed.edition > 0 && committed.departed.containsAll(committed.roster);
+        return released
+                || mode == Mode.LEARNING
+                || nobodyStays && t - leavingSinceUs > NEWCOMERS_JOIN_US;
     }
 
     /**
@@ -275,10 +366,13 @@
         return l;
     }
 
-    /** Word from the head of a view: the only thing that makes this member's knowledge fresh. */
-    private void told() {
+    /**
+     * Word from the head of a view, with the age of its proof: the only thing that makes this
+     * member's knowledge fresh.
+     */
+    private void told(long ageUs) {
         heardUs = now;
-        toldUs = now;
+        toldUs = Math.max(toldUs, now - Math.max(0, ageUs));
     }
 
     // ---- one function for every change of state
@@ -288,11 +382,15 @@
             refuseAll();
         }
         if (m == Mode.HEADING) {
-            missingUs.clear();
             viewSinceUs = now;
             heartbeatAckUs = now;
+            provenUs = Math.max(provenUs, formedUs);
             headSeen = me;
         }
+        if (m == Mode.IDLE || m == Mode.FOLLOWING) {
+            missingUs.clear();
+            leavers.clear();
+        }
         mode = m;
     }
 
@@ -367,7 +465,8 @@
     private void tickWait() {
         if (storing.isEmpty()
                 && now >= quietUntil + (bids == 0 ? rank() * RANK_US : 0)
-                && now - heardUs > SILENT_US + rank() * RANK_US
+                && now - heardUs
+                        > SILENT_US + rank() * RANK_US + (leaving ? LEAVER_BIDS_LATER_US : 0)
                 && memberState.state.roster.contains(me)) {
             bids++;
             startBid();
@@ -409,75 +508,209 @@
                 return;
             }
         }
-        admit();
         work();
     }
 
     private long workSinceUs;
 
-    private void admit() {
-        if (inWork.isPresent() || storing.isPresent() || now - viewSinceUs < SETTLE_US) {
-            return;
-        }
-        outside.values().removeIf(s -> now - s.lastUs > 1_000_000);
-        for (var e : outside.entrySet()) {
-            if (now - e.getValue().firstUs < SETTLE_US / 2 || chain.contains(e.getKey())) {
-                continue;
-            }
-            if (!memberState.state.roster.contains(e.getKey())) {
-                onAsk(now, -1, new CoreState.Change(CoreState.Act.ROSTER, 0, e.getKey(), ""));
-                return;
-            }
-            startBid();
-            return;
-        }
-        strikeGone();
-    }
+    // ---- who belongs to the chain and to the roster
 
     private final Map<String, Long> missingUs = new TreeMap<>();
     private int leastRoster = Integer.MAX_VALUE;
 
     /**
-     * The fewest members that still bear what is to be borne; without this word nobody is ever
-     * taken off.
+     * The fewest members that still bear what is to be borne; without this word nobody is taken off
+     * merely for its absence.
      */
     public void onLeastRoster(int n) {
         leastRoster = n;
     }
 
     /**
-     * Takes one member at a time off the roster: one that this head has missed for long while more
-     * members are in the chain than must be. Neighbouring rosters differ by one, so their
-     * majorities meet as they do when it grows.
+     * The next step of membership, decided between two writes: a change of the roster by one
+     * member, or a new view.
+     *
+     * <p>Invariant: the members of the roster that are in the chain are a majority of the roster
+     * before and after each change, and neighbouring rosters differ by one member, so that their
+     * majorities meet. A newcomer is in the chain, and so holds the state, before a write that
+     * itself passes through it makes it count.
+     */
+    private Optional<CoreState.Change> membership() {
+        noteMissing();
+        leavers.values().removeIf(t -> now - t > LEAVER_EXPIRES_US);
+        if (leaving) {
+            leavers.put(me, now);
+        }
+        var struck = missingToStrike().or(this::leaveStep);
+        if (struck.isPresent()) {
+            return struck.map(m -> new CoreState.Change(CoreState.Act.ROSTER_OUT, 0, m, ""));
+        }
+        if (mode != Mode.HEADING) {
+            return Optional.empty();
+        }
+        var enrolled = toEnrol();
+        if (enrolled.isPresent()) {
+            return enrolled.map(m -> new CoreState.Change(CoreState.Act.ROSTER, 0, m, ""));
+        }
+        if (now - viewSinceUs >= SETTLE_US) {
+            admit();
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * A member of the chain that is not in the roster, or is marked there as gone though it is
+     * back. While an even roster misses a member, nobody new is enrolled before that one is struck
+     * or back: each successor takes one place.
      */
-    private void strikeGone() {
+    private Optional<String> toEnrol() {
+        var roster = memberState.state.roster;
+        var vacancy = roster.size() % 2 == 0 && !missingUs.isEmpty();
+        return chain.stream()
+                .filter(m -> !leavers.containsKey(m))
+                .filter(m -> roster.contains(m) ? memberState.state.departed.contains(m) : !vacancy)
+                .findFirst();
+    }
+
+    private void noteMissing() {
         var r = memberState.state.roster;
         missingUs
                 .keySet()
                 .removeIf(m -> chain.contains(m) || !r.contains(m) || outside.containsKey(m));
-        for (var m : r) {
-            if (!chain.contains(m)) {
-                missingUs.putIfAbsent(m, now);
-            }
+        r.stream().filter(m -> !chain.contains(m)).forEach(m -> missingUs.putIfAbsent(m, now));
+    }
+
+    /**
+     * A new view with those that stand outside and were heard for a while, whether the roster names
+     * them or not.
+     */
+    private void admit() {
+        outside.values().removeIf(s -> now - s.lastUs > 1_000_000);
+        if (outside.entrySet().stream()
+                .anyMatch(e -> heardLongEnough(e.getValue()) && !chain.contains(e.getKey()))) {
+            startBid();
         }
-        var gone =
-                missingUs.entrySet().stream()
-                        .filter(e -> now - e.getValue() > GONE_US)
-                        .map(Map.Entry::getKey)
+    }
+
+    private boolean heardLongEnough(Seen s) {
+        return now - s.firstUs >= HEARD_US;
+    }
+
+    /**
+     * Lets go of those that leave in order. When those that stay are a majority of the roster, a
+     * new view without the leavers begins at once; a head that leaves has another member begin it.
+     * Else the roster shrinks first, by members that left before, then by a leaver, for as long as
+     * the invariant holds. If all leave, the roster stays as it is.
+     */
+    private Optional<String> leaveStep() {
+        var roster = memberState.state.roster;
+        var going =
+                chain.stream()
+                        .filter(
+                                m ->
+                                        leavers.containsKey(m)
+                                                && (!roster.contains(m)
+                                                        || memberState.state.departed.contains(m)))
+                        .toList();
+        var stay =
+                chain.stream().filter(m -> roster.contains(m) && !leavers.containsKey(m)).toList();
+        if (going.isEmpty() || stay.isEmpty()) {
+            return Optional.empty();
+        }
+        if (stay.size() * 2 > roster.size()) {
+            letGo(stay);
+            return Optional.empty();
+        }
+        if (now - leaverSinceUs < LEAVE_SETTLE_US) {
+            return Optional.empty();
+        }
+        var leftBefore =
+                roster.stream()
+                        .filter(m -> !chain.contains(m) && memberState.state.departed.contains(m))
                         .findFirst();
-        if (gone.isPresent() && r.size() > leastRoster && chain.size() >= leastRoster) {
-            missingUs.remove(gone.get());
-            onAsk(now, -1, new CoreState.Change(CoreState.Act.ROSTER_OUT, 0, gone.get(), ""));
+        return leftBefore.or(
+                () ->
+                        going.stream()
+                                .filter(m -> roster.contains(m) && holdsWithout(m))
+                                .findFirst());
+    }
+
+    private void letGo(List<String> stay) {
+        if (!leavers.containsKey(me)) {
+            startBid();
+        } else if (now - handOverSentUs > ASK_AGAIN_US) {
+            handOverSentUs = now;
+            var o = new Codec.Out(HANDOVER);
+            view.write(o);
+            send(stay.get(0), o);
         }
     }
 
+    private boolean holdsWithout(String member) {
+        var others =
+                chain.stream()
+                        .filter(m -> !m.equals(member) && memberState.state.roster.contains(m))
+                        .count();
+        return others * 2 > memberState.state.roster.size() - 1;
+    }
+
+    /**
+     * Who is missing from the chain and can be spared. An even roster spares one at once: a
+     * majority of n members, n even, holds a majority of any n - 1 of them, so that whoever could
+     * go on with the larger roster can go on with the smaller, and fewer are needed. So a
+     * successor, which makes an odd roster even, takes the place of a dead member in the same or
+     * the next write, and a zone that is merely cut off from an odd roster and was not replaced is
+     * never struck. Who left in order is struck after a while, too, if the majority then needs
+     * fewer members, and anybody after GONE_US.
+     *
+     * <p>A wrong guess (a member that was only cut off) is safe: it is outside the chain, so it
+     * neither acknowledges nor is needed; it cannot form a view, since a majority of its older
+     * roster holds a member that knows the newer one; it hears the news of the head when it is
+     * back, and joins as a newcomer does.
+     */
+    private Optional<String> missingToStrike() {
+        return missingUs.entrySet().stream()
+                .filter(e -> canBeSpared(e.getKey(), now - e.getValue()))
+                .min(
+                        Comparator.<Map.Entry<String, Long>, Boolean>comparing(
+                                        e -> !memberState.state.departed.contains(e.getKey()))
+                                .thenComparing(Map.Entry::getValue))
+                .map(Map.Entry::getKey);
+    }
+
+    private boolean canBeSpared(String member, long missingForUs) {
+        var size = memberState.state.roster.size();
+        var present = (int) chain.stream().filter(memberState.state.roster::contains).count();
+        if (size % 2 == 0) {
+            return missingForUs >= MISSING_US;
+        }
+        if (memberState.state.departed.contains(member)
+                && missingForUs >= DEPARTED_US
+                && size > present + 1 - present % 2) {
+            return true;
+        }
+        return missingForUs > GONE_US && size > leastRoster && present >= leastRoster;
+    }
+
     // ---- agreeing on a view
 
     private void startBid() {
         topN = Math.max(topN, memberState.promised.n) + 1;
         var b = new Ballot(topN, me);
+        var next = new Bid(b, now);
+        if (mode == Mode.HEADING) {
+            outside.forEach(
+                    (m, s) -> {
+                        if (heardLongEnough(s) && now - s.lastUs <= 1_000_000) {
+                            next.candidates.add(m);
+                        }
+                    });
+            chain.stream().filter(m -> !leavers.containsKey(m)).forEach(next.candidates::add);
+        }
+        next.released = handedOver.equals(memberState.promised) ? handedOver : Ballot.ZERO;
+        released = false;
         become(Mode.BIDDING);
-        bid = new Bid(b, now);
+        bid = next;
         store(
                 new MemberState(b, memberState.accepted, memberState.state),
                 () -> {
@@ -497,9 +730,11 @@
     }
 
     private void askRoster(List<String> roster) {
+        var all = new LinkedHashSet<>(roster);
+        all.addAll(bid.candidates);
         var again = now - bid.askedUs > ASK_AGAIN_US;
         bid.askedUs = again || bid.askedUs == 0 ? now : bid.askedUs;
-        for (var m : roster) {
+        for (var m : all) {
             if (bid.asked.add(m)
                     || again
                             && !m.equals(me)
@@ -508,7 +743,9 @@
                 var o = new Codec.Out(PREPARE);
                 bid.b.write(o);
                 memberState.accepted.write(o);
-                send(m, o.i64(memberState.state.edition));
+                o.i64(memberState.state.edition);
+                bid.released.write(o);
+                send(m, o);
             }
         }
     }
@@ -523,15 +760,18 @@
         tryForm();
     }
 
-    private void onPrepare(String from, Ballot b, Ballot acc, long ed) {
+    private void onPrepare(String from, Ballot b, Ballot acc, long ed, Ballot freed) {
         topN = Math.max(topN, b.n);
         if (mode == Mode.LEARNING) {
+            if (leaving) {
+                return;
+            }
             var o = new Codec.Out(PROMISE);
             b.write(o);
             send(from, o.u8(2).i64(nonce));
             return;
         }
-        if (b.compareTo(memberState.promised) < 0 || content(from)) {
+        if (b.compareTo(memberState.promised) < 0 || content(from, freed)) {
             refusePrepare(from, b);
             return;
         }
@@ -550,9 +790,10 @@
     }
 
     private void promise(String to, Ballot b, Ballot acc, long ed) {
+        released = false;
         var o = new Codec.Out(PROMISE);
         b.write(o);
-        o.u8(1);
+        o.u8(1).flag(leaving);
         memberState.accepted.write(o);
         o.i64(memberState.state.edition);
         var c = memberState.accepted.compareTo(acc);
@@ -562,9 +803,12 @@
 
     /**
      * A member that hears its head well gives no promise to another: one that cannot hear must not
-     * upset the rest.
+     * upset the rest. A head that hands over frees the members of its view from this.
      */
-    private boolean content(String from) {
+    private boolean content(String from, Ballot freed) {
+        if (freed.n > 0 && freed.equals(memberState.promised)) {
+            return false;
+        }
         return mode == Mode.FOLLOWING && !from.equals(headSeen) && now - heardUs < CONTENT_US
                 || mode == Mode.HEADING && now - heartbeatAckUs < CONTENT_US;
     }
@@ -580,7 +824,10 @@
         var k = in.u8();
         if (k == 0) {
             topN = Math.max(topN, in.i64());
-            if (mode == Mode.BIDDING && b.equals(bid.b)) {
+            if (mode == Mode.BIDDING && b.equals(bid.b) && isOnlyCandidate(from)) {
+                bid.candidates.remove(from);
+                tryForm();
+            } else if (mode == Mode.BIDDING && b.equals(bid.b)) {
                 quietUntil = now + 150_000 + rank() * RANK_US;
                 become(Mode.IDLE);
             }
@@ -591,7 +838,11 @@
         }
         if (k == 2) {
             bid.learners.put(from, in.i64());
-        } else {
+            bid.yes.remove(from);
+        } else if (!bid.learners.containsKey(from)) {
+            if (in.flag()) {
+                bid.leaving.add(from);
+            }
             var acc = Ballot.read(in);
             var ed = in.i64();
             var s = in.blob();
@@ -605,6 +856,11 @@
         tryForm();
     }
 
+    /** Whether a member takes part in the bid without being in the newest roster that was found. */
+    private boolean isOnlyCandidate(String member) {
+        return bid.yes.containsKey(me) && !best().state.get().roster.contains(member);
+    }
+
     private Vote best() {
         var v = bid.yes.get(me);
         for (var x : bid.yes.values()) {
@@ -631,7 +887,7 @@
             bid.majorityUs = now;
         }
         var all =
-                roster.stream()
+                Stream.concat(roster.stream(), bid.candidates.stream())
                         .allMatch(m -> bid.yes.containsKey(m) || bid.learners.containsKey(m));
         if (all || now - bid.majorityUs > GATHER_US) {
             form(v.state.get());
@@ -640,24 +896,26 @@
 
     private void form(CoreState s) {
         delta = Optional.empty();
-        var c =
-                new ArrayList<>(
-                        s.roster.stream()
-                                .filter(
-                                        m ->
-                                                !m.equals(me)
-                                                        && (bid.yes.containsKey(m)
-                                                                || bid.learners.containsKey(m)))
-                                .toList());
-        c.sort(near);
-        c.add(0, me);
         view = bid.b;
-        chain = List.copyOf(c);
-        learners = Map.copyOf(bid.learners);
+        chain = order(s.roster);
+        basis = best().accepted;
+        holders =
+                bid.yes.entrySet().stream()
+                        .filter(
+                                e ->
+                                        e.getValue().accepted.equals(basis)
+                                                && e.getValue().edition == s.edition)
+                        .map(Map.Entry::getKey)
+                        .toList();
+        learners = new TreeMap<>(bid.learners);
+        learners.keySet().retainAll(chain);
         chainSeen = chain;
         outside.clear();
         become(Mode.STARTING);
         viewSinceUs = now;
+        formedUs = now;
+        leavers.clear();
+        bid.leaving.forEach(m -> leavers.put(m, now));
         var b = view;
         store(
                 new MemberState(b, b, s),
@@ -668,6 +926,33 @@
                 });
     }
 
+    /**
+     * The chain: this member, the members of the roster that promised, without those that leave if
+     * the others are a majority, and then all who are to learn the state. Learners come last: by
+     * then a majority has accepted the state in this view, so that a learner, which may have
+     * forgotten a higher promise, cannot help an older view along.
+     */
+    private List<String> order(List<String> roster) {
+        var voters =
+                roster.stream()
+                        .filter(m -> !m.equals(me) && bid.yes.containsKey(m))
+                        .sorted(near)
+                        .toList();
+        var stay = voters.stream().filter(m -> !bid.leaving.contains(m)).toList();
+        var first = (stay.size() + 1) * 2 > roster.size() ? stay : voters;
+        var last =
+                Stream.concat(bid.learners.keySet().stream(), bid.candidates.stream())
+                        .distinct()
+                        .filter(
+                                m ->
+                                        !m.equals(me)
+                                                && !first.contains(m)
+                                                && !bid.leaving.contains(m))
+                        .filter(m -> bid.learners.containsKey(m) || bid.yes.containsKey(m))
+                        .sorted(near);
+        return Stream.of(Stream.of(me), first.stream(), last).flatMap(x -> x).toList();
+    }
+
     private void tickStart() {
         if (storing.isPresent()) {
             if (diskSick()) {
@@ -697,7 +982,8 @@
             delta = Optional.empty();
             return;
         }
-        send(chain.get(1), pass(view, chain, learners, memberState.state));
+        passState(view, chain, learners, basis, holders, 1);
+        holders = List.of();
     }
 
     /**
@@ -729,7 +1015,7 @@
         if (n.isEmpty()) {
             return;
         }
-        told();
+        heardUs = now;
         store(
                 new MemberState(b, b, n.get()),
                 () -> {
@@ -742,15 +1028,47 @@
                 });
     }
 
-    private static Codec.Out pass(
-            Ballot b, List<String> chain, Map<String, Long> learners, CoreState s) {
+    /**
+     * Passes this member's state to the one at a place of the chain: by its name, which is the view
+     * in which it was accepted and its edition, to one that promised with that state, and else
+     * whole. The second sending is always whole.
+     */
+    private void passState(
+            Ballot b,
+            List<String> ch,
+            Map<String, Long> ls,
+            Ballot named,
+            List<String> holding,
+            int place) {
         var o = new Codec.Out(PASS);
         b.write(o);
-        o.texts(chain).list(learners.entrySet(), (w, e) -> w.text(e.getKey()).i64(e.getValue()));
-        return o.blob(s.bytes());
-    }
-
-    private void onPass(String from, Ballot b, List<String> ch, Map<String, Long> ls, byte[] sb) {
+        o.texts(ch).list(ls.entrySet(), (w, e) -> w.text(e.getKey()).i64(e.getValue()));
+        named.write(o);
+        o.texts(holding).i64(memberState.state.edition);
+        send(
+                ch.get(place),
+                o.blob(holding.contains(ch.get(place)) ? new byte[0] : memberState.state.bytes()));
+    }
+
+    /** The state that a pass brings; nothing when it is only named and this member has another. */
+    private Optional<CoreState> passed(Ballot b, Ballot named, long edition, byte[] whole) {
+        if (whole.length > 0) {
+            return Optional.of(CoreState.of(whole));
+        }
+        var held =
+                memberState.state.edition == edition
+                        && (memberState.accepted.equals(named) || memberState.accepted.equals(b));
+        return held && mode != Mode.LEARNING ? Optional.of(memberState.state) : Optional.empty();
+    }
+
+    private void onPass(
+            Ballot b,
+            List<String> ch,
+            Map<String, Long> ls,
+            Ballot named,
+            List<String> holding,
+            long edition,
+            byte[] whole) {
         var at = ch.indexOf(me);
         var lesson = ls.containsKey(me);
         if (at < 1 || mode == Mode.LEARNING && (!lesson || ls.get(me) != nonce)) {
@@ -768,25 +1086,36 @@
                 && ls.get(me) != nonce) {
             return;
         }
-        var s = CoreState.of(sb);
-        told();
+        var brought = passed(b, named, edition, whole);
+        if (brought.isEmpty()) {
+            return;
+        }
+        var s = brought.get();
+        told(0);
         if (memberState.accepted.equals(b)
                 && memberState.state.edition >= s.edition
                 && mode == Mode.FOLLOWING) {
-            follow(b, ch, ls, s);
+            follow(b, ch, ls, named, holding, s);
             return;
         }
         if (memberState.accepted.equals(b) && memberState.state.edition > s.edition) {
             return;
         }
         become(Mode.FOLLOWING);
+        released = false;
         view = b;
         chainSeen = ch;
         headSeen = ch.get(0);
-        store(new MemberState(b, b, s), () -> follow(b, ch, ls, s));
+        store(new MemberState(b, b, s), () -> follow(b, ch, ls, named, holding, s));
     }
 
-    private void follow(Ballot b, List<String> ch, Map<String, Long> ls, CoreState s) {
+    private void follow(
+            Ballot b,
+            List<String> ch,
+            Map<String, Long> ls,
+            Ballot named,
+            List<String> holding,
+            CoreState s) {
         if (!memberState.accepted.equals(b) || memberState.state.edition != s.edition) {
             return;
         }
@@ -795,7 +1124,7 @@
             commit(b, s.edition);
             ack(ch.get(at - 1), b, s.edition);
         } else {
-            send(ch.get(at + 1), pass(b, ch, ls, s));
+            passState(b, ch, ls, named, holding, at + 1);
         }
     }
 
@@ -863,16 +1192,17 @@
             heartbeatAck(heartbeatN);
             return;
         }
-        send(chain.get(1), heartbeat(view, heartbeatN, chain, committed.edition));
+        send(chain.get(1), heartbeat(view, heartbeatN, chain, committed.edition, now - provenUs));
     }
 
-    private static Codec.Out heartbeat(Ballot b, long n, List<String> ch, long ed) {
+    private static Codec.Out heartbeat(
+            Ballot b, long n, List<String> ch, long ed, long proofAgeUs) {
         var o = new Codec.Out(HEARTBEAT);
         b.write(o);
-        return o.i64(n).texts(ch).i64(ed);
+        return o.i64(n).texts(ch).i64(ed).i64(proofAgeUs);
     }
 
-    private void onHeartbeat(Ballot b, long n, List<String> ch, long ed) {
+    private void onHeartbeat(Ballot b, long n, List<String> ch, long ed, long proofAgeUs) {
         var at = ch.indexOf(me);
         if (at < 1
                 || mode != Mode.FOLLOWING && mode != Mode.IDLE
@@ -882,8 +1212,9 @@
         }
         if (mode == Mode.IDLE) {
             become(Mode.FOLLOWING);
+            released = false;
         }
-        told();
+        told(proofAgeUs);
         view = b;
         chainSeen = ch;
         headSeen = ch.get(0);
@@ -891,7 +1222,7 @@
         if (at == ch.size() - 1) {
             heartbeatAckTo(ch.get(at - 1), b, n);
         } else {
-            send(ch.get(at + 1), heartbeat(b, n, ch, ed));
+            send(ch.get(at + 1), heartbeat(b, n, ch, ed, proofAgeUs));
         }
     }
 
@@ -943,25 +1274,43 @@
         for (var m : to) {
             var o = new Codec.Out(NEWS);
             view.write(o);
-            send(m, o.texts(chain).i64(committed.edition));
+            send(m, o.texts(chain).i64(committed.edition).i64(now - provenUs));
         }
     }
 
-    private void onNews(String from, Ballot b, List<String> ch, long ed) {
+    private void onNews(String from, Ballot b, List<String> ch, long ed, long proofAgeUs) {
         if (b.compareTo(memberState.promised) < 0 && mode != Mode.LEARNING
                 || mode == Mode.HEADING
                 || mode == Mode.STARTING) {
-            send(from, new Codec.Out(HERE).i64(memberState.promised.n));
+            if (!leaving) {
+                send(from, new Codec.Out(HERE).i64(memberState.promised.n));
+            }
             return;
         }
         headSeen = ch.get(0);
         chainSeen = ch;
         topN = Math.max(topN, b.n);
-        told();
-        if (ed > committed.edition) {
+        told(proofAgeUs);
+        if (ed > committed.edition && now - pulledUs >= PULL_US) {
+            pulledUs = now;
             send(from, new Codec.Out(PULL).i64(committed.edition));
         }
-        send(from, new Codec.Out(HERE).i64(0));
+        if (leaving) {
+            released = !ch.contains(me);
+        } else {
+            send(from, new Codec.Out(HERE).i64(0));
+        }
+    }
+
+    /** The head of this view is about to leave and names this member as the one to go on. */
+    private void onHandover(Ballot b) {
+        if (mode == Mode.FOLLOWING
+                && b.equals(memberState.promised)
+                && b.equals(memberState.accepted)
+                && storing.isEmpty()) {
+            handedOver = b;
+            startBid();
+        }
     }
 
     private void onHere(String from, long n) {
@@ -997,6 +1346,10 @@
             out.add(new Answer(request, 503, "not the head of an active chain"));
             return;
         }
+        if (c.act == CoreState.Act.LEAVE
+                && Optional.ofNullable(leavers.put(c.subject, now)).isEmpty()) {
+            leaverSinceUs = now;
+        }
         queue.add(new Asked(request, c));
         work();
     }
@@ -1016,6 +1369,9 @@
      */
     private void work() {
         var last = heartbeatN;
+        if (mode == Mode.HEADING && inWork.isEmpty() && storing.isEmpty()) {
+            membership().ifPresent(c -> queue.addFirst(new Asked(OWN_ASK, c)));
+        }
         while (mode == Mode.HEADING && inWork.isEmpty() && storing.isEmpty() && !queue.isEmpty()) {
             decide(queue.poll(), last + 1);
         }
@@ -1030,9 +1386,7 @@
                         .stamped(jobClockUs(now))
                         .surveyed(a.change.act.ofPlacement() ? survey.get() : "");
         var o = memberState.state.decide(ch);
-        if (o.status == 400) {
-            out.add(new Answer(a.request, 400, o.text));
-        } else if (o.next.isEmpty()) {
+        if (o.next.isEmpty()) {
             unproven.add(new Unproven(a.request, o, barrier));
         } else {
             write(a, ch, o);
@@ -1064,7 +1418,8 @@
                 var b = Ballot.read(in);
                 var a = Ballot.read(in);
                 var e = in.i64();
-                whenFree(() -> onPrepare(from, b, a, e));
+                var freed = Ballot.read(in);
+                whenFree(() -> onPrepare(from, b, a, e, freed));
             }
             case PROMISE -> onPromise(from, in);
             case PASS -> {
@@ -1072,8 +1427,11 @@
                 var ch = in.texts();
                 var ls = new TreeMap<String, Long>();
                 in.list(x -> ls.put(x.text(), x.i64()));
+                var named = Ballot.read(in);
+                var holding = in.texts();
+                var e = in.i64();
                 var s = in.blob();
-                whenFree(() -> onPass(from, b, ch, ls, s));
+                whenFree(() -> onPass(b, ch, ls, named, holding, e, s));
             }
             case STEP -> {
                 var b = Ballot.read(in);
@@ -1090,12 +1448,17 @@
                 onPassAck(b, e);
             }
             case NACK -> onNack(Ballot.read(in), in.i64());
-            case HEARTBEAT -> onHeartbeat(Ballot.read(in), in.i64(), in.texts(), in.i64());
+            case HEARTBEAT ->
+                    onHeartbeat(Ballot.read(in), in.i64(), in.texts(), in.i64(), in.i64());
             case HEARTBEAT_ACK -> onHeartbeatAck(Ballot.read(in), in.i64());
-            case NEWS -> onNews(from, Ballot.read(in), in.texts(), in.i64());
+            case NEWS -> onNews(from, Ballot.read(in), in.texts(), in.i64(), in.i64());
             case HERE -> onHere(from, in.i64());
             case PULL -> onPull(from, in.i64());
             case SNAPSHOT -> onSnapshot(in.blob());
+            case HANDOVER -> {
+                var b = Ballot.read(in);
+                whenFree(() -> onHandover(b));
+            }
             default -> {}
         }
     }
--- a/core/src/main/java/martenloom/core/state/CoreState.java
+++ b/core/src/main/java/martenloom/core/state/CoreState.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -44,6 +45,9 @@
      */
     public final Map<String, Scale> scales;
 
+    /** Members of the roster that left in order and have not been in the chain since. */
+    public final Set<String> departed;
+
     /**
      * How many replicas of a model a region is to have, and which of them rest. Pinned by the
      * operator: all rest.
@@ -91,7 +95,8 @@
         JOB_CLOCK,
         SCALE,
         PLACE,
-        ROSTER_OUT;
+        ROSTER_OUT,
+        LEAVE;
 
         /** What an edge may ask for as the holder of a duty. */
         public boolean ofRunner() {
@@ -186,7 +191,8 @@
             Set<String> ev,
             Map<String, Duty> d,
             JobTable b,
-            Map<String, Scale> sc) {
+            Map<String, Scale> sc,
+            Set<String> gone) {
         edition = e;
         roster = List.copyOf(r);
         revision = rev;
@@ -197,11 +203,22 @@
         duties = d;
         jobTable = b;
         scales = sc;
+        departed = gone;
     }
 
     public static CoreState founded(List<String> roster) {
         return new CoreState(
-                0, roster, 0, "", "", Map.of(), Set.of(), Map.of(), JobTable.EMPTY, Map.of());
+                0,
+                roster,
+                0,
+                "",
+                "",
+                Map.of(),
+                Set.of(),
+                Map.of(),
+                JobTable.EMPTY,
+                Map.of(),
+                Set.of());
     }
 
     public byte[] bytes() {
@@ -219,7 +236,7 @@
                 (w, x) -> w.text(x.getKey()).i64(x.getValue().grant).text(x.getValue().holder));
         jobTable.write(o);
         o.list(scales.entrySet(), (w, x) -> x.getValue().write(w.text(x.getKey())));
-        return o.bytes();
+        return o.texts(departed).bytes();
     }
 
     public static CoreState of(byte[] b) {
@@ -237,7 +254,7 @@
         var jb = JobTable.read(in);
         var sc = new TreeMap<String, Scale>();
         in.list(x -> sc.put(x.text(), Scale.read(x)));
-        return new CoreState(e, r, rev, j, m, h, ev, d, jb, sc);
+        return new CoreState(e, r, rev, j, m, h, ev, d, jb, sc, new TreeSet<>(in.texts()));
     }
 
     private CoreState next(
@@ -246,7 +263,23 @@
             Map<String, Duty> d,
             JobTable b,
             Map<String, Scale> sc) {
-        return new CoreState(edition + 1, r, revision, json, routingText, history, ev, d, b, sc);
+        return new CoreState(
+                edition + 1, r, revision, json, routingText, history, ev, d, b, sc, departed);
+    }
+
+    private CoreState withMembers(List<String> members, Set<String> gone) {
+        return new CoreState(
+                edition + 1,
+                members,
+                revision,
+                json,
+                routingText,
+                history,
+                evacuated,
+                duties,
+                jobTable,
+                scales,
+                gone);
     }
 
     public Outcome decide(Change c) {
@@ -258,6 +291,7 @@
             case DUTY -> duty(c);
             case ROSTER -> enrol(c.subject);
             case ROSTER_OUT -> strike(c.subject);
+            case LEAVE -> depart(c.subject);
             case SCALE -> scale(c);
             case PLACE -> place(c);
             default -> job(c);
@@ -317,7 +351,8 @@
                 evacuated,
                 duties,
                 jobTable,
-                scales);
+                scales,
+                departed);
     }
 
     private Outcome evacuate(String zone, boolean on) {
@@ -341,22 +376,46 @@
                 200, String.valueOf(g), Optional.of(next(roster, evacuated, d, jobTable, scales)));
     }
 
-    private Outcome enrol(String ip) {
-        if (roster.contains(ip)) {
+    /**
+     * Adds a member to the roster; one that had left in order and is back counts as present again.
+     */
+    private Outcome enrol(String member) {
+        if (roster.contains(member) && !departed.contains(member)) {
             return new Outcome(200, "", Optional.empty());
         }
-        var r = new ArrayList<>(roster);
-        r.add(ip);
-        return new Outcome(200, "", Optional.of(next(r, evacuated, duties, jobTable, scales)));
+        var members = new LinkedHashSet<>(roster);
+        members.add(member);
+        return new Outcome(
+                200, "", Optional.of(withMembers(List.copyOf(members), without(departed, member))));
     }
 
-    private Outcome strike(String ip) {
-        if (!roster.contains(ip)) {
+    private Outcome strike(String member) {
+        if (!roster.contains(member)) {
             return new Outcome(200, "", Optional.empty());
         }
-        var r = new ArrayList<>(roster);
-        r.remove(ip);
-        return new Outcome(200, "", Optional.of(next(r, evacuated, duties, jobTable, scales)));
+        var members = new ArrayList<>(roster);
+        members.remove(member);
+        return new Outcome(200, "", Optional.of(withMembers(members, without(departed, member))));
+    }
+
+    /**
+     * Notes that a member leaves in order. It keeps its place in the roster until the place is
+     * needed for a successor or for the majority of those that stay, so that a mere restart costs
+     * no change of the roster.
+     */
+    private Outcome depart(String member) {
+        if (!roster.contains(member) || departed.contains(member)) {
+            return new Outcome(200, "", Optional.empty());
+        }
+        var gone = new TreeSet<>(departed);
+        gone.add(member);
+        return new Outcome(200, "", Optional.of(withMembers(roster, gone)));
+    }
+
+    private static Set<String> without(Set<String> members, String member) {
+        var rest = new TreeSet<>(members);
+        rest.remove(member);
+        return rest;
     }
 
     // ---- placement
--- a/core/src/main/java/martenloom/core/storage/VersionedStore.java
+++ b/core/src/main/java/martenloom/core/storage/VersionedStore.java
@@ -10,8 +10,11 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
 import java.util.zip.CRC32;
 import martenloom.common.error.Fault;
@@ -19,13 +22,26 @@
 
 /**
  * The disk of a core member: one file for each version, written aside, synced, renamed, and the
- * folder synced, before the version counts as kept. Every file opens with its length, check sum and
- * time; at a start the newest whole one is taken. Work runs on a thread of its own, so a stalled
- * disk never stops the reactor.
+ * folder synced, before the version counts as kept. Only then is anything promised or acknowledged
+ * that rests on it. Every file opens with its length, check sum and time. Work runs on a thread of
+ * its own, so a stalled disk never stops the reactor.
+ *
+ * <p>What an unfinished, never acknowledged write of version v can leave behind, whatever is lost
+ * with the power: a file aside that is missing, torn or whole, or the whole file under its final
+ * name (the rename came after the sync of its content), while the final file of version v - 1 is
+ * still there, since nothing older is removed before the folder has been synced with v. So a file
+ * aside proves nothing and is dropped, and the newest final file is always whole. A newest final
+ * file that is not whole is therefore a damaged disk: a promise may have been in it. Then nothing
+ * is taken from the disk, older versions included, and the member comes back as one that lost its
+ * disk. The same holds for a file aside that is more than one version ahead of the newest final
+ * file: the version between them was kept, and is gone.
  */
 public final class VersionedStore {
     private static final String PREFIX = "member-";
+    private static final String ASIDE = ".aside";
     private static final int HEAD = 20;
+    private static final int TIME_AT = 12;
+    private static final long NONE = -1;
 
     /**
      * What the store needs of a folder; a test puts a stand-in with torn and lost writes in its
@@ -55,28 +71,47 @@
                     });
     private long version;
     private long keptAtMs;
+    private boolean damaged;
 
     public VersionedStore(Folder f) {
         this.f = f;
     }
 
+    /**
+     * What was kept last; empty when nothing ever was, or when the disk is damaged (see the class).
+     */
     public Optional<byte[]> load() {
-        var best = Optional.<byte[]>empty();
-        for (var n : f.names()) {
-            var v = versionOf(n);
-            if (v <= version) {
-                continue;
-            }
-            var b = whole(f.read(n));
-            if (b.isPresent()) {
-                best = b;
-                version = v;
-            } else {
-                RingLog.note("store: " + n + " is not whole, passed over");
-            }
+        var names = f.names();
+        var newest = names.stream().mapToLong(VersionedStore::versionOf).max().orElse(NONE);
+        var newestAside =
+                names.stream().mapToLong(VersionedStore::asideVersionOf).max().orElse(NONE);
+        var found = newest > 0 ? whole(f.read(nameOf(newest))) : Optional.<byte[]>empty();
+        damaged = newest > 0 && found.isEmpty() || newestAside > Math.max(0, newest) + 1;
+        if (damaged) {
+            RingLog.wrong(
+                    "store: version "
+                            + newest
+                            + " is not whole or one after it is gone, the disk counts as lost");
+            version = Math.max(newest, newestAside);
+            return Optional.empty();
         }
-        best.ifPresent(b -> keptAtMs = ByteBuffer.wrap(b).getLong(12));
-        return best.map(b -> Arrays.copyOfRange(b, HEAD, b.length));
+        if (found.isPresent()) {
+            // A process that was killed between the rename and the sync left a name that a loss of
+            // power may still undo.
+            f.syncFolder();
+            version = newest;
+            keptAtMs = ByteBuffer.wrap(found.get()).getLong(TIME_AT);
+        }
+        removeAllBut(newest);
+        return found.map(b -> Arrays.copyOfRange(b, HEAD, b.length));
+    }
+
+    /**
+     * Whether something was kept here that is not whole any more: this member may have promised
+     * what it no longer knows.
+     */
+    public boolean damaged() {
+        return damaged;
     }
 
     /**
@@ -90,13 +125,45 @@
                 : Math.max(0, Math.min(600_000, System.currentTimeMillis() - keptAtMs)) * 1000;
     }
 
-    private static long versionOf(String n) {
+    private static String nameOf(long v) {
+        return PREFIX + String.format("%016x", v);
+    }
+
+    private static long versionOf(String name) {
+        return name.startsWith(PREFIX) && !name.endsWith(ASIDE)
+                ? number(name.substring(PREFIX.length()))
+                : NONE;
+    }
+
+    private static long asideVersionOf(String name) {
+        return name.startsWith(PREFIX) && name.endsWith(ASIDE)
+                ? number(name.substring(PREFIX.length(), name.length() - ASIDE.length()))
+                : NONE;
+    }
+
+    private static long number(String hex) {
         try {
-            return n.startsWith(PREFIX) && !n.endsWith(".aside")
-                    ? Long.parseLong(n.substring(PREFIX.length()), 16)
-                    : -1;
+            return Long.parseLong(hex, 16);
         } catch (NumberFormatException e) {
-            return -1;
+            return NONE;
+        }
+    }
+
+    /**
+     * Removes all other versions; a disk that refuses is asked again with the next version. What is
+     * aside for the next version stays and will be written over: a name that is removed and made
+     * again without a sync in between could come back with its old content.
+     */
+    private void removeAllBut(long v) {
+        try {
+            f.names().stream()
+                    .filter(
+                            n ->
+                                    versionOf(n) > 0 && versionOf(n) != v
+                                            || asideVersionOf(n) > 0 && asideVersionOf(n) <= v)
+                    .forEach(f::remove);
+        } catch (RuntimeException e) {
+            RingLog.note("store: an old version is not removed: " + e.getMessage());
         }
     }
 
@@ -136,8 +203,8 @@
         hand.execute(
                 () -> {
                     try {
-                        f.writeSynced(name + ".aside", framed(b));
-                        f.rename(name + ".aside", name);
+                        f.writeSynced(name + ASIDE, framed(b));
+                        f.rename(name + ASIDE, name);
                         f.syncFolder();
                     } catch (RuntimeException e) {
                         RingLog.note("store: note " + name + " is not kept: " + e.getMessage());
@@ -154,15 +221,22 @@
     /** Keeps a version, on the caller's thread. */
     public synchronized void keep(byte[] b) {
         var v = version + 1;
-        var name = PREFIX + String.format("%016x", v);
-        f.writeSynced(name + ".aside", framed(b));
-        f.rename(name + ".aside", name);
+        var name = nameOf(v);
+        f.writeSynced(name + ASIDE, framed(b));
+        f.rename(name + ASIDE, name);
         f.syncFolder();
         version = v;
-        for (var n : f.names()) {
-            if (versionOf(n) > 0 && versionOf(n) < v) {
-                f.remove(n);
-            }
+        removeAllBut(v);
+    }
+
+    /** Waits until all that was handed over has been written, or for as long as is given. */
+    public void flush(long atMostMs) {
+        try {
+            hand.submit(() -> {}).get(atMostMs, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException e) {
+            RingLog.note("store: the last version is not written: " + e.getClass().getSimpleName());
         }
     }
 
@@ -201,6 +275,26 @@
         public RealFolder(String path) {
             dir = Path.of(path);
             run("open " + path, () -> Files.createDirectories(dir));
+            syncParents(dir.toAbsolutePath().getParent());
+        }
+
+        /**
+         * Makes the folder last: a name that was just made is lost with the power unless its folder
+         * is synced, and a life before this one may have ended in between. Where a folder above may
+         * not be opened, it was not made by us.
+         */
+        private static void syncParents(Path folder) {
+            try {
+                sync(folder);
+            } catch (IOException e) {
+                RingLog.note("store: " + folder + " is not synced: " + e.getMessage());
+            }
+        }
+
+        private static void sync(Path folder) throws IOException {
+            try (var c = FileChannel.open(folder, StandardOpenOption.READ)) {
+                c.force(true);
+            }
         }
 
         @FunctionalInterface
@@ -269,9 +363,7 @@
             run(
                     "sync " + dir,
                     () -> {
-                        try (var c = FileChannel.open(dir, StandardOpenOption.READ)) {
-                            c.force(true);
-                        }
+                        sync(dir);
                         return 0;
                     });
         }
--- a/edge/src/main/java/martenloom/edge/EdgeDaemon.java
+++ b/edge/src/main/java/martenloom/edge/EdgeDaemon.java
@@ -54,7 +54,7 @@
     private static final long SAMPLE_US = 100_000;
     private static final long REPORT_US = 250_000;
     private static final long SCALE_US = 200_000;
-    private static final long STALE_US = 1_200_000;
+    private static final long STALE_US = 1_500_000;
     private static final long SILENCE_US = 1_400_000;
 
     private final Settings settings;
@@ -407,7 +407,11 @@
         most = Math.max(most, in.i32());
         edgesNow = in.i32();
         most = Math.max(most, edgesNow);
-        cores.addAll(in.texts());
+        var known = in.texts();
+        if (stale < STALE_US) {
+            cores.clear();
+        }
+        cores.addAll(known);
         dispatcher.onEdges(most);
         jobsLive = in.flag();
         replicaTable.lent(
--- a/launcher/src/main/java/martenloom/launcher/Launcher.java
+++ b/launcher/src/main/java/martenloom/launcher/Launcher.java
@@ -100,6 +100,7 @@
         }
         var c = new CoreDaemon(p, loop, new VersionedStore.RealFolder(p.dataDir));
         loop.execute(() -> starting(() -> c.start()));
+        Runtime.getRuntime().addShutdownHook(new Thread(c::leave, "leave"));
     }
 
     @FunctionalInterface
