--- /dev/null
+++ b/core/src/main/java/martenloom/core/chain/DurableState.java
@@ -0,0 +1,77 @@
+package martenloom.core.chain;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.function.Consumer;
+import martenloom.core.chain.ChainCore.MemberState;
+import martenloom.core.chain.ChainCore.Store;
+
+/** What this member has on disk, and the one write that may be under way. */
+final class DurableState {
+    private static final long SICK_DISK_US = 800_000;
+    private static final int MOST_DEFERRED = 256;
+
+    private final Consumer<Store> output;
+    private final Deque<Runnable> deferred = new ArrayDeque<>();
+    private MemberState kept;
+    private Optional<MemberState> storing = Optional.empty();
+    private Runnable afterStore = () -> {};
+    private long token;
+    private long sinceUs;
+
+    DurableState(MemberState kept, Consumer<Store> output) {
+        this.kept = kept;
+        this.output = output;
+    }
+
+    MemberState kept() {
+        return kept;
+    }
+
+    boolean isFree() {
+        return storing.isEmpty();
+    }
+
+    /** Whether a write has been under way for longer than a healthy disk takes. */
+    boolean isSick(long nowUs) {
+        return storing.isPresent() && nowUs - sinceUs > SICK_DISK_US;
+    }
+
+    /** Begins a write, which must be the only one, and runs the rest once it is durable. */
+    void store(MemberState next, long nowUs, Runnable then) {
+        storing = Optional.of(next);
+        afterStore = then;
+        sinceUs = nowUs;
+        output.accept(new Store(++token, next));
+    }
+
+    /** Runs at once when the disk is free, else when it is. */
+    void whenFree(Runnable action) {
+        if (isFree()) {
+            action.run();
+        } else if (deferred.size() < MOST_DEFERRED) {
+            deferred.add(action);
+        }
+    }
+
+    /** Whether this is the write under way; then its state is what is kept. */
+    boolean onStored(long storedToken) {
+        if (isFree() || storedToken != token) {
+            return false;
+        }
+        kept = storing.get();
+        storing = Optional.empty();
+        return true;
+    }
+
+    /** Runs what waited for the write, for as long as no further one is begun. */
+    void runWaiting() {
+        var then = afterStore;
+        afterStore = () -> {};
+        then.run();
+        while (isFree() && !deferred.isEmpty()) {
+            deferred.poll().run();
+        }
+    }
+}
--- a/core/src/test/java/martenloom/core/chain/MembershipTest.java
+++ b/core/src/test/java/martenloom/core/chain/MembershipTest.java
@@ -148,6 +148,25 @@
         assertTrue(w.head().committed().revision >= newest);
     }
 
+    /** One is down and was not replaced: a leaver that is needed stays until the other is back. */
+    @Test
+    void aLeaverThatIsNeededIsNotStruck() {
+        var world = core(3);
+        var down = follower(world);
+        world.crash(down, false);
+        down.upAt = ChainWorld.NEVER;
+        world.untilAcknowledged(5_000_000);
+        var leaver = follower(world);
+        world.leave(leaver, false);
+        world.run(4_000_000);
+        assertTrue(leaver.core.isPresent(), "it is needed");
+        assertEquals(3, world.head().committed().roster.size());
+        world.untilAcknowledged(2_000_000);
+        down.upAt = world.now;
+        world.until("left once the other was back", 4_000_000, () -> leaver.core.isEmpty());
+        assertEquals(0, world.leftAtGraceEnd);
+    }
+
     /**
      * All are told at once: nobody is struck, all end early, and any majority of the disks is
      * enough afterwards.
