--- a/core/src/main/java/martenloom/core/CoreDaemon.java
+++ b/core/src/main/java/martenloom/core/CoreDaemon.java
@@ -65,6 +65,9 @@
     private static final long WANT_US = 350_000;
     private static final long LEAVE_AGAIN_US = 200_000;
 
+    /** For this share of the grace period a needed member waits for another to come back. */
+    private static final double LEAVE_WAITS_SHARE = 0.45;
+
     /** So much of the grace period is left for the end of the process itself. */
     private static final long END_US = 900_000;
 
@@ -233,12 +236,13 @@
         var done = new CountDownLatch(1);
         var graceUs = (long) (settings.bounds.graceS * 1_000_000);
         var endUs = Clocks.nowUs() + graceUs - END_US;
+        var urgentUs = Clocks.nowUs() + (long) (graceUs * LEAVE_WAITS_SHARE);
         loop.execute(
                 () -> {
                     RingLog.note("leaving");
                     leaving = true;
                     chain.onLeave(Clocks.nowUs());
-                    leaveStep(endUs, done);
+                    leaveStep(urgentUs, endUs, done);
                 });
         try {
             done.await(graceUs / 1000 - END_US / 2000, TimeUnit.MILLISECONDS);
@@ -248,7 +252,7 @@
         store.flush(FLUSH_MS);
     }
 
-    private void leaveStep(long endUs, CountDownLatch done) {
+    private void leaveStep(long urgentUs, long endUs, CountDownLatch done) {
         var now = Clocks.nowUs();
         if (mayEnd(now) || now >= endUs) {
             RingLog.note("left " + (now < endUs ? "in order" : "at the end of the grace period"));
@@ -256,11 +260,12 @@
             return;
         }
         if (releasedUs == 0) {
+            var urgency = now < urgentUs ? CoreState.LEAVE_SOON : CoreState.LEAVE_NOW;
             handOver(
-                    new CoreState.Change(CoreState.Act.LEAVE, 0, settings.ip, ""),
+                    new CoreState.Change(CoreState.Act.LEAVE, urgency, settings.ip, ""),
                     (status, text) -> leaveTaken |= status == 200);
         }
-        Clocks.after(loop, LEAVE_AGAIN_US, () -> leaveStep(endUs, done));
+        Clocks.after(loop, LEAVE_AGAIN_US, () -> leaveStep(urgentUs, endUs, done));
     }
 
     /**
--- a/core/src/main/java/martenloom/core/chain/ChainCore.java
+++ b/core/src/main/java/martenloom/core/chain/ChainCore.java
@@ -379,7 +379,7 @@
             return;
         }
         if (change.act == CoreState.Act.LEAVE) {
-            membership.onLeaveAsked(change.subject);
+            membership.onLeaveAsked(change.subject, change.base == CoreState.LEAVE_NOW);
         }
         queue.add(new Asked(request, change));
         work();
--- a/core/src/main/java/martenloom/core/chain/Membership.java
+++ b/core/src/main/java/martenloom/core/chain/Membership.java
@@ -33,7 +33,6 @@
     private static final long MISSING_US = 1_000_000;
     private static final long DEPARTED_US = 10_000_000;
     private static final long LEAVER_EXPIRES_US = 3_000_000;
-    private static final long LEAVE_SETTLE_US = 500_000;
     private static final long HANDOVER_AGAIN_US = 150_000;
 
     /** What is to be done next. */
@@ -58,7 +57,7 @@
     private final Map<String, Long> missingSinceUs = new TreeMap<>();
     private final Map<String, Long> leaversHeardUs = new TreeMap<>();
     private int leastRoster = Integer.MAX_VALUE;
-    private long leaverSinceUs;
+    private final Set<String> urgentLeavers = new TreeSet<>();
     private long handoverSentUs;
 
     Membership(MemberContext member) {
@@ -73,12 +72,14 @@
     void clear() {
         missingSinceUs.clear();
         leaversHeardUs.clear();
+        urgentLeavers.clear();
     }
 
     /** A view was formed, in which these members said with their promise that they leave. */
     void onFormed(Set<String> leaving) {
         outside.clear();
         leaversHeardUs.clear();
+        urgentLeavers.clear();
         leaving.forEach(m -> leaversHeardUs.put(m, member.nowUs));
     }
 
@@ -91,10 +92,14 @@
         seen.lastUs = member.nowUs;
     }
 
-    /** A member asks, for the first time or again, to be let go. */
-    void onLeaveAsked(String leaver) {
-        if (Optional.ofNullable(leaversHeardUs.put(leaver, member.nowUs)).isEmpty()) {
-            leaverSinceUs = member.nowUs;
+    /**
+     * A member asks, for the first time or again, to be let go; urgently, once its grace period
+     * runs out.
+     */
+    void onLeaveAsked(String leaver, boolean urgent) {
+        leaversHeardUs.put(leaver, member.nowUs);
+        if (urgent) {
+            urgentLeavers.add(leaver);
         }
     }
 
@@ -224,22 +229,22 @@
     }
 
     /**
-     * When those that stay are no majority of the roster, it shrinks first: by members that left
-     * before, then by a leaver, for as long as the invariant holds. If all leave, the roster stays
-     * as it is.
+     * When those that stay are no majority of the roster, a leaver waits for others to come back or
+     * to join. When it is urgent, the roster shrinks: by members that left before, then by a
+     * leaver, for as long as the invariant holds. If all leave, the roster stays as it is.
      */
     private Optional<String> leaverToStrike() {
-        if (going().isEmpty()
-                || staying().isEmpty()
+        var going = going();
+        if (staying().isEmpty()
                 || mayLetGo()
-                || member.nowUs - leaverSinceUs < LEAVE_SETTLE_US) {
+                || going.stream().noneMatch(urgentLeavers::contains)) {
             return Optional.empty();
         }
         var leftBefore =
                 roster().stream().filter(m -> !member.chain.contains(m) && departed(m)).findFirst();
         return leftBefore.or(
                 () ->
-                        going().stream()
+                        going.stream()
                                 .filter(m -> roster().contains(m) && holdsWithout(m))
                                 .findFirst());
     }
--- a/core/src/main/java/martenloom/core/state/CoreState.java
+++ b/core/src/main/java/martenloom/core/state/CoreState.java
@@ -29,6 +29,12 @@
 public final class CoreState {
     private static final int HISTORY = 64;
 
+    /** The base of a LEAVE that may wait for another member to come back. */
+    public static final long LEAVE_SOON = 0;
+
+    /** The base of a LEAVE whose sender will end soon in any case. */
+    public static final long LEAVE_NOW = 1;
+
     public final long edition;
     public final List<String> roster;
     public final long revision;
--- /dev/null
+++ b/core/src/test/java/martenloom/core/chain/ChainMessageTest.java
@@ -0,0 +1,78 @@
+package martenloom.core.chain;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import martenloom.core.chain.ChainCore.Ballot;
+import martenloom.core.chain.ChainCore.MemberState;
+import martenloom.core.state.CoreState;
+import org.junit.jupiter.api.Test;
+
+/**
+ * The wire form of the chain's messages, and what a member does with a state that is only named.
+ */
+final class ChainMessageTest {
+    private static final Ballot FIRST = new Ballot(3, "a");
+    private static final Ballot SECOND = new Ballot(4, "b");
+    private static final ChainMessage.View VIEW =
+            new ChainMessage.View(SECOND, List.of("b", "c"), Map.of("c", 9L));
+    private static final CoreState.Change CHANGE =
+            new CoreState.Change(CoreState.Act.ROSTER, 7, "d", "x");
+
+    @Test
+    void eachMessageIsReadAsItWasWritten() {
+        var all =
+                List.of(
+                        new ChainMessage.Prepare(SECOND, FIRST, 5, FIRST),
+                        new ChainMessage.Refused(SECOND, 8),
+                        new ChainMessage.Promised(SECOND, true, FIRST, 5, new byte[] {1, 2}),
+                        new ChainMessage.Learner(SECOND, 77),
+                        new ChainMessage.Pass(VIEW, FIRST, List.of("c"), 5, new byte[] {3}),
+                        new ChainMessage.Step(VIEW, 6, CHANGE),
+                        new ChainMessage.PassAck(SECOND, 6),
+                        new ChainMessage.Nack(SECOND, 9),
+                        new ChainMessage.Heartbeat(SECOND, 12, List.of("b", "c"), 6, 1000),
+                        new ChainMessage.HeartbeatAck(SECOND, 12),
+                        new ChainMessage.News(SECOND, List.of("b", "c"), 6, 1000),
+                        new ChainMessage.Here(4),
+                        new ChainMessage.Pull(6),
+                        new ChainMessage.Snapshot(new byte[] {4}),
+                        new ChainMessage.Handover(SECOND));
+        assertEquals(
+                ChainMessage.class.getPermittedSubclasses().length,
+                all.stream().map(Object::getClass).distinct().count());
+        for (var message : all) {
+            var bytes = message.encode().bytes();
+            assertTrue(bytes[0] <= ChainCore.LAST_TYPE);
+            var read = ChainMessage.decode(bytes).orElseThrow();
+            assertEquals(message.getClass(), read.getClass());
+            assertArrayEquals(bytes, read.encode().bytes());
+        }
+        assertTrue(ChainMessage.decode(new byte[] {40, 1, 2}).isEmpty(), "not the chain's");
+    }
+
+    /**
+     * A member that holds the edition, but from another view, has another state and must not take
+     * it.
+     */
+    @Test
+    void aStateThatIsOnlyNamedIsTakenByItsHolderAlone() {
+        var state = CoreState.founded(List.of("b", "c"));
+        assertEquals(1, storesAfterNaming(FIRST, state));
+        assertEquals(0, storesAfterNaming(new Ballot(2, "a"), state));
+    }
+
+    private static long storesAfterNaming(Ballot acceptedIn, CoreState state) {
+        var kept = Optional.of(new MemberState(FIRST, acceptedIn, state));
+        var member = new ChainCore("c", 1, kept, Comparator.naturalOrder(), 0);
+        var view = new ChainMessage.View(SECOND, List.of("b", "c"), Map.of());
+        var pass = new ChainMessage.Pass(view, FIRST, List.of("c"), state.edition, new byte[0]);
+        member.onRecord(10, "b", pass.encode().bytes());
+        return member.drain().stream().filter(c -> c instanceof ChainCore.Store).count();
+    }
+}
--- a/core/src/test/java/martenloom/core/chain/ChainWorld.java
+++ b/core/src/test/java/martenloom/core/chain/ChainWorld.java
@@ -24,6 +24,7 @@
 final class ChainWorld {
     private static final long LEAVE_AGAIN_US = 200_000;
     private static final long GRACE_US = 7_000_000;
+    private static final long LEAVE_WAITS_US = 3_600_000;
     private static final long LEAVE_ORDERS = 1_000_000_000;
     static final long NEVER = Long.MAX_VALUE;
 
@@ -185,7 +186,11 @@
                             .filter(h -> h.core.isPresent() && !cut.contains(n.ip + ">" + h.ip));
             to.ifPresent(
                     h -> {
-                        var c = new CoreState.Change(CoreState.Act.LEAVE, 0, n.ip, "");
+                        var urgency =
+                                now - n.leaveSinceUs < LEAVE_WAITS_US
+                                        ? CoreState.LEAVE_SOON
+                                        : CoreState.LEAVE_NOW;
+                        var c = new CoreState.Change(CoreState.Act.LEAVE, urgency, n.ip, "");
                         asked.put(LEAVE_ORDERS + ++order, c);
                         h.core.get().onAsk(now, LEAVE_ORDERS + order, c);
                         carryOut(h);
--- a/core/src/test/java/martenloom/core/chain/MembershipTest.java
+++ b/core/src/test/java/martenloom/core/chain/MembershipTest.java
@@ -194,6 +194,48 @@
         assertTrue(w.head().committed().revision >= newest);
     }
 
+    /**
+     * Two restarts that overlap, as at a hasty rolling restart: the second waits, the roster never
+     * shrinks.
+     */
+    @ParameterizedTest
+    @CsvSource({"3, 100", "3, 600", "3, 1200", "5, 100", "5, 600"})
+    void overlappingRestartsKeepTheRoster(int members, int pauseMs) {
+        var world = core(members);
+        var nodes = List.copyOf(world.nodes.values());
+        for (var node : nodes) {
+            world.leave(node, false);
+            world.run(pauseMs * 1000L);
+        }
+        var roster = List.copyOf(world.nodes.keySet());
+        for (var i = 0; i < 3000; i++) {
+            world.step();
+            nodes.stream()
+                    .flatMap(n -> n.core.stream())
+                    .forEach(
+                            c ->
+                                    assertEquals(
+                                            Set.copyOf(roster),
+                                            Set.copyOf(c.memberState().state.roster)));
+        }
+        assertTrue(world.whole(), world.toString());
+        assertEquals(0, world.leftAtGraceEnd);
+        world.untilAcknowledged(CATCH_UP_US);
+    }
+
+    /**
+     * A learner, which may have forgotten a promise, accepts a state only after all who have not.
+     */
+    @Test
+    void aWipedMemberIsTheLastOfItsChain() {
+        var world = core(5);
+        var first = world.nodes.values().iterator().next();
+        world.crash(first, true);
+        world.until("back", 2 * CATCH_UP_US, world::whole);
+        var chain = world.head().chain();
+        assertEquals(first.ip, chain.get(chain.size() - 1));
+    }
+
     /** Told in a row, faster than one leave takes. */
     @ParameterizedTest
     @CsvSource({"3, 150", "3, 700", "5, 150", "5, 700", "5, 1500"})
