--- a/core/src/main/java/martenloom/core/state/CoreState.java
+++ b/core/src/main/java/martenloom/core/state/CoreState.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HexFormat;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -38,6 +39,12 @@
     private static final String SCALING = "scaling/";
     private static final int ORDER_BITS = 32;
 
+    /** The base of a LEAVE that may wait for another member to come back. */
+    public static final long LEAVE_SOON = 0;
+
+    /** The base of a LEAVE whose sender will end soon in any case. */
+    public static final long LEAVE_NOW = 1;
+
     public final long edition;
     public final List<String> roster;
     public final long revision;
@@ -54,6 +61,9 @@
      */
     public final Map<String, Scale> scales;
 
+    /** Members of the roster that left in order and have not been in the chain since. */
+    public final Set<String> departed;
+
     /**
      * How often each evacuation and placement was ordered, also after it ended, and the newest
      * order of each scaler. An order acts only on the version that was committed where and when its
@@ -108,7 +118,8 @@
         JOB_CLOCK,
         SCALE,
         PLACE,
-        ROSTER_OUT;
+        ROSTER_OUT,
+        LEAVE;
 
         /** What an edge may ask for as the holder of a duty. */
         public boolean ofRunner() {
@@ -230,6 +241,7 @@
         jobTable = d.jobTable;
         scales = d.scales;
         versions = d.versions;
+        departed = d.departed;
     }
 
     /** A state in the making: a copy of another in which single parts are replaced. */
@@ -245,6 +257,7 @@
         JobTable jobTable = JobTable.EMPTY;
         Map<String, Scale> scales = Map.of();
         Map<String, Long> versions = Map.of();
+        Set<String> departed = Set.of();
 
         void version(String key, long v) {
             versions = new TreeMap<>(versions);
@@ -270,6 +283,7 @@
         d.jobTable = jobTable;
         d.scales = scales;
         d.versions = versions;
+        d.departed = departed;
         return d;
     }
 
@@ -295,7 +309,7 @@
         jobTable.write(o);
         o.list(scales.entrySet(), (w, x) -> x.getValue().write(w.text(x.getKey())));
         o.list(versions.entrySet(), (w, x) -> w.text(x.getKey()).i64(x.getValue()));
-        return o.bytes();
+        return o.texts(departed).bytes();
     }
 
     public static CoreState of(byte[] b) {
@@ -318,6 +332,7 @@
         var versions = new TreeMap<String, Long>();
         in.list(x -> versions.put(x.text(), x.i64()));
         d.versions = versions;
+        d.departed = new TreeSet<>(in.texts());
         return new CoreState(d);
     }
 
@@ -361,6 +376,7 @@
             case DUTY -> duty(c);
             case ROSTER -> enrol(c.subject);
             case ROSTER_OUT -> strike(c.subject);
+            case LEAVE -> depart(c.subject);
             case SCALE -> scale(c);
             case PLACE -> place(c);
             default -> job(c);
@@ -463,26 +479,54 @@
         return d.done(String.valueOf(held.grant + 1));
     }
 
-    private Outcome enrol(String ip) {
-        if (roster.contains(ip)) {
+    /**
+     * Adds a member to the roster; one that had left in order and is back counts as present again.
+     */
+    private Outcome enrol(String member) {
+        if (roster.contains(member) && !departed.contains(member)) {
             return new Outcome(200, "", Optional.empty());
         }
         var d = draft();
-        d.roster = new ArrayList<>(roster);
-        d.roster.add(ip);
+        var members = new LinkedHashSet<>(roster);
+        members.add(member);
+        d.roster = List.copyOf(members);
+        d.departed = without(departed, member);
         return d.done("");
     }
 
-    private Outcome strike(String ip) {
-        if (!roster.contains(ip)) {
+    private Outcome strike(String member) {
+        if (!roster.contains(member)) {
             return new Outcome(200, "", Optional.empty());
         }
         var d = draft();
-        d.roster = new ArrayList<>(roster);
-        d.roster.remove(ip);
+        var members = new ArrayList<>(roster);
+        members.remove(member);
+        d.roster = members;
+        d.departed = without(departed, member);
         return d.done("");
     }
 
+    /**
+     * Notes that a member leaves in order. It keeps its place in the roster until the place is
+     * needed for a successor or for the majority of those that stay, so that a mere restart costs
+     * no change of the roster.
+     */
+    private Outcome depart(String member) {
+        if (!roster.contains(member) || departed.contains(member)) {
+            return new Outcome(200, "", Optional.empty());
+        }
+        var d = draft();
+        d.departed = new TreeSet<>(departed);
+        d.departed.add(member);
+        return d.done("");
+    }
+
+    private static Set<String> without(Set<String> members, String member) {
+        var rest = new TreeSet<>(members);
+        rest.remove(member);
+        return rest;
+    }
+
     // ---- placement
 
     /**
