--- a/simulation/src/main/java/martenloom/simulation/OrderForwarder.java
+++ b/simulation/src/main/java/martenloom/simulation/OrderForwarder.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import martenloom.common.codec.Codec;
 import martenloom.common.fleet.FleetRecords;
+import martenloom.common.link.PendingRequests;
 import martenloom.core.chain.ChainCore;
 import martenloom.core.state.CoreState;
 
@@ -17,11 +18,13 @@
     private static final long STALE_US = 1_500_000;
 
     private final Process process;
-    private final Map<Long, Reply> asked = new HashMap<>();
-    private long lastId;
+    private final PendingRequests<SimulatedNetwork.Connection> headRequests;
+    private final Map<Long, Reply> localRequests = new HashMap<>();
+    private long lastLocal;
 
-    OrderForwarder(Process process) {
+    OrderForwarder(Process process, long life) {
         this.process = process;
+        headRequests = new PendingRequests<>(life);
     }
 
     void ask(CoreState.Change change, Reply reply) {
@@ -31,30 +34,27 @@
             return;
         }
         var head = chain.head();
-        if (!process.connectedTo(head) || chain.staleUs(process.nowUs()) > STALE_US) {
+        var connection = process.connectionTo(head);
+        if (connection.isEmpty() || chain.staleUs(process.nowUs()) > STALE_US) {
             reply.accept(503, "no head is known");
             return;
         }
-        var id = ++lastId;
-        asked.put(id, reply);
-        var record = new Codec.Out(FleetRecords.ASK).i64(id);
+        var id = headRequests.open(connection.get(), reply::accept);
+        var record = new Codec.Out(FleetRecords.ASK);
+        id.write(record);
         change.write(record);
         process.send(head, record.bytes());
-        process.after(
-                PATIENCE_US,
-                () ->
-                        Optional.ofNullable(asked.remove(id))
-                                .ifPresent(r -> r.accept(503, "no answer from the head")));
+        process.after(PATIENCE_US, () -> headRequests.expire(id, "no answer from the head"));
     }
 
     private void askHere(CoreState.Change change, Reply reply) {
-        var id = ++lastId;
-        asked.put(id, reply);
+        var id = ++lastLocal;
+        localRequests.put(id, reply);
         process.chain().onAsk(process.nowUs(), id, change);
     }
 
     void onChainAnswer(ChainCore.Answer answer) {
-        Optional.ofNullable(asked.remove(answer.request()))
+        Optional.ofNullable(localRequests.remove(answer.request()))
                 .ifPresent(r -> r.accept(answer.status(), answer.text()));
     }
 
@@ -62,21 +62,17 @@
     void onRecord(SimulatedNetwork.Connection by, byte[] record) {
         var in = new Codec.In(record, true);
         if (in.type == FleetRecords.ASK) {
-            var id = in.i64();
-            askHere(
-                    CoreState.Change.read(in),
-                    (status, text) ->
-                            by.answer(
-                                    new Codec.Out(FleetRecords.ANSWER)
-                                            .i64(id)
-                                            .i32(status)
-                                            .text(text)
-                                            .bytes()));
+            var id = PendingRequests.RequestId.read(in);
+            askHere(CoreState.Change.read(in), (status, text) -> answer(by, id, status, text));
         } else if (in.type == FleetRecords.ANSWER) {
-            var reply = Optional.ofNullable(asked.remove(in.i64()));
-            var status = in.i32();
-            var text = in.text();
-            reply.ifPresent(r -> r.accept(status, text));
+            headRequests.answered(PendingRequests.RequestId.read(in), by, in.i32(), in.text());
         }
     }
+
+    private static void answer(
+            SimulatedNetwork.Connection by, PendingRequests.RequestId id, int status, String text) {
+        var record = new Codec.Out(FleetRecords.ANSWER);
+        id.write(record);
+        by.answer(record.i32(status).text(text).bytes());
+    }
 }
--- a/simulation/src/main/java/martenloom/simulation/Process.java
+++ b/simulation/src/main/java/martenloom/simulation/Process.java
@@ -29,7 +29,7 @@
     private final Environment environment;
     private final VersionedStore disk;
     private final ChainCore chain;
-    private final OrderForwarder handOver = new OrderForwarder(this);
+    private final OrderForwarder handOver;
     private final Set<String> dials = new TreeSet<>();
     private final Deque<ChainCore.Store> stores = new ArrayDeque<>();
     private final long startedUs;
@@ -40,6 +40,7 @@
         this.machine = machine;
         this.environment = environment;
         startedUs = nowUs();
+        handOver = new OrderForwarder(this, environment.disks().any());
         disk = new VersionedStore(machine.disk());
         var seeds = environment.seeds();
         var kept = disk.load().map(ChainCore.MemberState::of);
@@ -133,7 +134,7 @@
     }
 
     void onRecord(SimulatedNetwork.Connection by, byte[] record) {
-        if (record[0] <= ChainCore.STEP) {
+        if (record[0] <= ChainCore.LAST_TYPE) {
             chain.onRecord(nowUs(), by.peerOf(this).address(), record);
             return;
         }
@@ -153,7 +154,7 @@
      * head.
      */
     void onOrder(CoreState.Change change, Reply reply) {
-        order(change, nowUs(), reply);
+        order(chain.committed().accepted(change), nowUs(), reply);
     }
 
     private void order(CoreState.Change change, long sinceUs, Reply reply) {
@@ -176,8 +177,8 @@
         }
     }
 
-    boolean connectedTo(String other) {
-        return environment.network().connected(this, other);
+    Optional<SimulatedNetwork.Connection> connectionTo(String other) {
+        return environment.network().connection(this, other);
     }
 
     void send(String to, byte[] record) {
--- a/simulation/src/main/java/martenloom/simulation/SimulatedNetwork.java
+++ b/simulation/src/main/java/martenloom/simulation/SimulatedNetwork.java
@@ -220,8 +220,8 @@
                 .forEach(this::close);
     }
 
-    boolean connected(Process from, String to) {
-        return open(from, to).isPresent();
+    Optional<Connection> connection(Process from, String to) {
+        return open(from, to);
     }
 
     private Optional<Connection> open(Process from, String to) {
