--- a/core/src/main/java/martenloom/core/CoreDaemon.java
+++ b/core/src/main/java/martenloom/core/CoreDaemon.java
@@ -1,12 +1,16 @@
 package martenloom.core;
 
 import io.activej.eventloop.Eventloop;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpResponse;
 import io.activej.http.HttpServer;
+import io.activej.promise.Promise;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -18,7 +22,10 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import martenloom.common.clock.Clocks;
 import martenloom.common.codec.Codec;
@@ -27,6 +34,7 @@
 import martenloom.common.jobs.Job;
 import martenloom.common.link.LinkTraffic;
 import martenloom.common.link.PeerLinks;
+import martenloom.common.link.PendingRequests;
 import martenloom.common.load.LoadSummary;
 import martenloom.common.log.RingLog;
 import martenloom.common.settings.Settings;
@@ -36,6 +44,7 @@
 import martenloom.core.load.LoadAggregator;
 import martenloom.core.placement.PlacementService;
 import martenloom.core.registry.ColdSendLeases;
+import martenloom.core.registry.MajorityReceipt;
 import martenloom.core.registry.Registry;
 import martenloom.core.state.CoreState;
 import martenloom.core.storage.VersionedStore;
@@ -54,10 +63,43 @@
     private static final long DIGEST_US = 500_000;
     private static final long ASK_US = 2_500_000;
     private static final long SILENCE_US = 2_000_000;
+
+    /**
+     * How long confirmations are waited for; the replica that asks takes an answer for a second.
+     */
+    private static final long CONFIRM_US = 800_000;
+
     private static final long SUM_US = 100_000;
     private static final int FAR_TURNS = 5;
     private static final int QUIET_TURNS = 5;
     private static final long WANT_US = 350_000;
+    private static final long LEAVE_AGAIN_US = 200_000;
+
+    /** For this share of the grace period a needed member waits for another to come back. */
+    private static final double LEAVE_WAITS_SHARE = 0.45;
+
+    /** So much of the grace period is left for the end of the process itself. */
+    private static final long END_US = 900_000;
+
+    private static final long ANSWERS_US = 900_000;
+    private static final long FLUSH_MS = 300;
+
+    /**
+     * What edges are told about the age of our knowledge while we leave, so that they choose
+     * another home.
+     */
+    private static final long FAR_TOO_OLD_US = 3_600_000_000L;
+
+    /** A core daemon outside the roster that was not reached for so long is forgotten. */
+    private static final long FORGET_US = 20_000_000;
+
+    /** Without word of a majority for this long, a member may be cut off from the others. */
+    private static final long CONTACT_US = 1_200_000;
+
+    /**
+     * An edge renews every 0.4 s; three renewals missed mean that it does not rely on this daemon.
+     */
+    private static final long RELIED_US = 1_200_000;
 
     /**
      * Edges use even shares up to as many edges as sends; homes lend only when there are clearly
@@ -74,8 +116,9 @@
     private final PlacementService placement;
     private final Map<String, PeerLinks.Dial> dials = new TreeMap<>();
     private final Map<String, PeerLinks.Link> homes = new LinkedHashMap<>();
-    private final Map<Long, BiConsumer<Integer, String>> asked = new HashMap<>();
-    private final Map<Long, Runnable> remote = new HashMap<>();
+    private final Map<Long, BiConsumer<Integer, String>> localRequests = new HashMap<>();
+    private final PendingRequests<PeerLinks.Link> peerRequests =
+            new PendingRequests<>(new SecureRandom().nextLong());
     private final long startUs = Clocks.nowUs();
     private final boolean restored;
     private int memoDigest;
@@ -87,7 +130,7 @@
     private long sums;
     private final Map<String, Long> wanted = new HashMap<>();
     private final Map<String, Long> routesSent = new HashMap<>();
-    private long requests;
+    private long localNumber;
     private int turn;
 
     public CoreDaemon(Settings p, Eventloop loop, VersionedStore.Folder folder) {
@@ -96,7 +139,7 @@
         store = new VersionedStore(folder);
         var kept = store.load();
         var disk = kept.map(ChainCore.MemberState::of);
-        if (disk.isEmpty() && p.bootstrap && founder()) {
+        if (disk.isEmpty() && !store.damaged() && p.bootstrap && founder()) {
             disk =
                     Optional.of(
                             new ChainCore.MemberState(
@@ -168,16 +211,19 @@
                         loop,
                         settings,
                         registry,
+                        this::acceptsHeartbeats,
                         this::handOver,
-                        this::flood,
+                        this::tellMajority,
                         () -> table(chain.committed()),
-                        this::outside);
+                        chain::committed,
+                        this::outside,
+                        this::inTouch);
         var at = new LinkedHashSet<InetSocketAddress>();
         at.add(Settings.address("ControlPlane", settings.need("ControlPlane")));
         if (settings.listen.containsKey("Directory")) {
             at.add(Settings.address("Directory", settings.need("Directory")));
         }
-        HttpServer.builder(loop, controlApi)
+        HttpServer.builder(loop, q -> leaving ? Promise.of(goElsewhere()) : controlApi.serve(q))
                 .withListenAddresses(List.copyOf(at))
                 .withKeepAliveTimeout(Duration.ofSeconds(30))
                 .withMaxBodySize(16 << 20)
@@ -197,25 +243,114 @@
         dials.values().forEach(PeerLinks.Dial::stop);
     }
 
+    /**
+     * Whether a heartbeat taken here reaches anybody: this member is in contact with a majority, or
+     * an edge relies on it. A member that is cut off from all of them refuses, so that its replicas
+     * report to another daemon before they are taken for silent there; in a zone that is cut off as
+     * a whole, the edges of the zone still need what is taken here.
+     */
+    private boolean acceptsHeartbeats() {
+        var now = Clocks.nowUs();
+        return chain.staleUs(now) < CONTACT_US
+                || homes.values().stream().anyMatch(l -> now - l.heardUs < RELIED_US);
+    }
+
+    // ---- leaving in order
+
+    private boolean leaving;
+    private boolean leaveTaken;
+    private long releasedUs;
+
+    /**
+     * Called from another thread at SIGTERM. Sends callers and edges elsewhere, has this member
+     * leave the chain, and returns when the chain without it has accepted all that was
+     * acknowledged, or when the grace is nearly over.
+     */
+    public void leave() {
+        var done = new CountDownLatch(1);
+        var graceUs = (long) (settings.bounds.graceS * 1_000_000);
+        var endUs = Clocks.nowUs() + graceUs - END_US;
+        var urgentUs = Clocks.nowUs() + (long) (graceUs * LEAVE_WAITS_SHARE);
+        loop.execute(
+                () -> {
+                    RingLog.note("leaving");
+                    leaving = true;
+                    chain.onLeave(Clocks.nowUs());
+                    leaveStep(urgentUs, endUs, done);
+                });
+        try {
+            done.await(graceUs / 1000 - END_US / 2000, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        store.flush(FLUSH_MS);
+    }
+
+    private void leaveStep(long urgentUs, long endUs, CountDownLatch done) {
+        var now = Clocks.nowUs();
+        if (mayEnd(now) || now >= endUs) {
+            RingLog.note("left " + (now < endUs ? "in order" : "at the end of the grace period"));
+            done.countDown();
+            return;
+        }
+        if (releasedUs == 0) {
+            var urgency = now < urgentUs ? CoreState.LEAVE_SOON : CoreState.LEAVE_NOW;
+            handOver(
+                    new CoreState.Change(CoreState.Act.LEAVE, urgency, settings.ip, ""),
+                    (status, text) -> leaveTaken |= status == 200);
+        }
+        Clocks.after(loop, LEAVE_AGAIN_US, () -> leaveStep(urgentUs, endUs, done));
+    }
+
+    /**
+     * Not before the chain can do without us, and then when the answers that callers wait for have
+     * come, or soon after.
+     */
+    private boolean mayEnd(long now) {
+        if ((leaveTaken || chain.mode() == ChainCore.Mode.LEARNING) && chain.released(now)) {
+            releasedUs = releasedUs == 0 ? now : releasedUs;
+        }
+        return releasedUs > 0 && (noAnswerAwaited() || now - releasedUs > ANSWERS_US);
+    }
+
+    private boolean noAnswerAwaited() {
+        return localRequests.isEmpty() && peerRequests.size() == 0;
+    }
+
+    private static HttpResponse goElsewhere() {
+        return HttpResponse.ofCode(503)
+                .withHeader(HttpHeaders.CONNECTION, "close")
+                .withHeader(HttpHeaders.RETRY_AFTER, "1")
+                .withPlainText("this daemon is leaving")
+                .build();
+    }
+
+    // ---- links to other core daemons
+
+    /** Forgets who is neither in the roster nor a seed and was not reached for a while. */
+    private void forgetGone(long now) {
+        var needed = new TreeSet<>(chain.memberState().state.roster);
+        needed.addAll(chain.committed().roster);
+        needed.addAll(seedIps());
+        for (var ip : List.copyOf(dials.keySet())) {
+            if (needed.contains(ip) || dials.get(ip).link().isPresent()) {
+                reachedUs.put(ip, now);
+            } else if (now - reachedUs.computeIfAbsent(ip, k -> now) > FORGET_US) {
+                dials.remove(ip).stop();
+                reachedUs.remove(ip);
+                regions.remove(ip);
+            }
+        }
+    }
+
+    private final Map<String, Long> reachedUs = new HashMap<>();
+
     private void dial(String ip) {
         if (ip.equals(settings.ip) || dials.containsKey(ip)) {
             return;
         }
         var to = Settings.address("peer", ip + ":" + settings.portLow);
-        dials.put(
-                ip,
-                new PeerLinks.Dial(
-                        loop,
-                        to,
-                        200_000,
-                        l ->
-                                l.send(
-                                        new Codec.Out(FleetRecords.HELLO)
-                                                .text(settings.ip)
-                                                .text(settings.region)
-                                                .i32(mostEdges)
-                                                .bytes()),
-                        this));
+        dials.put(ip, new PeerLinks.Dial(loop, to, 200_000, l -> l.send(hello()), this));
     }
 
     // ---- time
@@ -229,28 +364,62 @@
         jobClock(now);
         carryOut();
         registry.sweep(now);
-        var ch = registry.pollChanged();
-        if (!ch.isEmpty()) {
-            var b = registry.rows(ch, false, now);
-            toHomes((ip, l) -> l.send(b));
-        }
+        tellChanged(now);
         dials.values().forEach(d -> d.check(SILENCE_US));
     }
 
+    /**
+     * Tells everybody at once that a replica drains or has ended, and says whether a majority of
+     * the roster confirmed it in time. Those that confirm tell their edges and the other daemons,
+     * so an edge that does not hear of it has lost its home and is about to leave it.
+     */
+    private void tellMajority(String replica, Consumer<Boolean> confirmed) {
+        var now = Clocks.nowUs();
+        var roster = chain.committed().roster;
+        var receipt = new MajorityReceipt(roster, confirmed);
+        var news = registry.rowFlood(replica, now);
+        var sent = new ArrayList<PendingRequests.RequestId>();
+        for (var member : roster) {
+            var link = Optional.ofNullable(dials.get(member)).flatMap(PeerLinks.Dial::link);
+            link.ifPresent(l -> sent.add(sendConfirmed(l, news, () -> receipt.receivedBy(member))));
+        }
+        flood();
+        receipt.receivedBy(settings.ip);
+        Clocks.after(
+                loop,
+                CONFIRM_US,
+                () -> {
+                    sent.forEach(id -> peerRequests.expire(id, "not confirmed in time"));
+                    receipt.timedOut();
+                });
+    }
+
+    private PendingRequests.RequestId sendConfirmed(
+            PeerLinks.Link link, byte[] flood, Runnable received) {
+        var id =
+                peerRequests.open(
+                        link,
+                        (status, text) -> {
+                            if (status == 200) {
+                                received.run();
+                            }
+                        });
+        var out = new Codec.Out(FleetRecords.FLOOD_CONFIRMED);
+        id.write(out);
+        link.send(out.blob(flood).bytes());
+        return id;
+    }
+
     private void flood() {
         var now = Clocks.nowUs();
         registry.pollFlood(now).ifPresent(b -> dials.values().forEach(d -> d.send(b)));
-        var ch = registry.pollChanged();
-        if (!ch.isEmpty()) {
-            var b = registry.rows(ch, false, now);
-            toHomes((ip, l) -> l.send(b));
-        }
+        tellChanged(now);
     }
 
     private void mend() {
         mostEdges = Math.max(mostEdges, registry.members(Clocks.nowUs()).size());
         mostHomes = Math.max(mostHomes, homesHere());
-        var dg = (registry.edgeDigest() * 31 + mostEdges) * 31 + mostHomes;
+        var dg = (registry.noteDigest() * 31 + mostEdges) * 31 + mostHomes;
         if (dg != memoDigest) {
             memoDigest = dg;
             store.noteLater(MEMO, registry.memo(mostEdges, mostHomes, Clocks.nowUs()));
@@ -263,15 +432,21 @@
             up.get(turn++ % up.size()).send(b);
         }
         seedIps().forEach(this::dial);
-        var beat =
-                new Codec.Out(FleetRecords.HELLO)
-                        .text(settings.ip)
-                        .text(settings.region)
-                        .i32(mostEdges)
-                        .bytes();
+        forgetGone(Clocks.nowUs());
+        var beat = hello();
         dials.values().forEach(d -> d.send(beat));
     }
 
+    /** Makes us known on a link, at its start and then as a sign of life. */
+    private byte[] hello() {
+        return new Codec.Out(FleetRecords.HELLO)
+                .text(settings.ip)
+                .text(settings.region)
+                .i32(mostEdges)
+                .i64(Clocks.nowUs())
+                .bytes();
+    }
+
     /** How many core daemons of our region have made themselves known, ourselves with them. */
     private int homesHere() {
         return 1
@@ -370,6 +545,14 @@
      * it to their edges only.
      */
     private void onReport(PeerLinks.Link l, byte[] record) {
+        var in = new Codec.In(record, true);
+        var duty = in.text() + "/" + in.text();
+        var reporter = in.text();
+        if (chain.committed().overtaken(duty, in.i64())) {
+            RingLog.note(
+                    "a report of " + reporter + " under an older grant of " + duty + " is dropped");
+            return;
+        }
         if (l.tag instanceof String ip && homes.get(ip) == l) {
             dials.values().forEach(d -> d.send(record));
         }
@@ -401,7 +584,7 @@
                         loop.completeExternalTask();
                     });
         } else if (c instanceof ChainCore.Answer a) {
-            Optional.ofNullable(asked.remove(a.request()))
+            Optional.ofNullable(localRequests.remove(a.request()))
                     .ifPresent(r -> r.accept(a.status(), a.text()));
         } else if (c instanceof ChainCore.Committed m) {
             RingLog.note(
@@ -444,7 +627,14 @@
                 .bytes();
     }
 
+    /**
+     * Nothing is handed out as current that may be old: the edge is told our age with every
+     * renewal, and goes elsewhere.
+     */
     private void configurationWhole(String ip, PeerLinks.Link l) {
+        if (!chain.fresh(Clocks.nowUs())) {
+            return;
+        }
         var s = chain.committed();
         l.send(configuration(s, true));
         routesSent.put(ip, s.revision);
@@ -453,41 +643,43 @@
     // ---- requests to the chain
 
     private void askHere(CoreState.Change c, BiConsumer<Integer, String> reply) {
-        var id = ++requests;
-        asked.put(id, reply);
+        var id = ++localNumber;
+        localRequests.put(id, reply);
         chain.onAsk(Clocks.nowUs(), id, c);
         loop.post(this::carryOut);
     }
 
+    /** Whether this daemon knew of a majority that held together a moment ago. */
+    private boolean inTouch() {
+        return chain.fresh(Clocks.nowUs());
+    }
+
     private void handOver(CoreState.Change c, BiConsumer<Integer, String> reply) {
         if (chain.heading()) {
             askHere(c, reply);
             return;
         }
-        var d = Optional.ofNullable(dials.get(chain.head())).filter(x -> x.link().isPresent());
-        if (d.isEmpty() || chain.staleUs(Clocks.nowUs()) > 1_500_000) {
+        var link = Optional.ofNullable(dials.get(chain.head())).flatMap(PeerLinks.Dial::link);
+        if (link.isEmpty() || !inTouch()) {
             reply.accept(503, "no head is known at " + settings.ip);
             return;
         }
-        var id = ++requests;
-        asked.put(id, reply);
-        var o = new Codec.Out(FleetRecords.ASK).i64(id);
+        var head = link.get();
+        var id = peerRequests.open(head, reply);
+        var o = new Codec.Out(FleetRecords.ASK);
+        id.write(o);
         c.write(o);
-        d.get().send(o.bytes());
+        head.send(o.bytes());
         Clocks.after(
-                loop,
-                ASK_US,
-                () ->
-                        Optional.ofNullable(asked.remove(id))
-                                .ifPresent(
-                                        r ->
-                                                r.accept(
-                                                        503,
-                                                        "no reply from the head " + chain.head())));
+                loop, ASK_US, () -> peerRequests.expire(id, "no reply from the head " + head.peer));
     }
 
-    private void answerPeer(PeerLinks.Link l, long id, int s, String t) {
-        l.send(new Codec.Out(FleetRecords.ANSWER).i64(id).i32(s).text(t).bytes());
+    /** Answers a request on the link on which it came, under the id that its sender gave it. */
+    private static void answer(
+            PeerLinks.Link l, PendingRequests.RequestId id, int status, String text) {
+        var o = new Codec.Out(FleetRecords.ANSWER);
+        id.write(o);
+        l.send(o.i32(status).text(text).bytes());
     }
 
     // ---- records
@@ -495,7 +687,7 @@
     @Override
     public void onRecord(PeerLinks.Link l, byte[] record) {
         var t = record[0];
-        if (t <= ChainCore.STEP) {
+        if (t <= ChainCore.LAST_TYPE) {
             chain.onRecord(Clocks.nowUs(), l.peer, record);
             carryOut();
             return;
@@ -506,11 +698,17 @@
                 l.peer = in.text();
                 regions.put(l.peer, in.text());
                 mostEdges = Math.max(mostEdges, in.i32());
-                l.send(new Codec.Out(FleetRecords.HEARD).bytes());
+                l.delay.measure(in.i64(), Clocks.nowUs());
+                l.send(new Codec.Out(FleetRecords.HEARD).texts(cores()).bytes());
                 dial(l.peer);
             }
-            case FleetRecords.HEARD -> {}
-            case FleetRecords.FLOOD -> registry.takeFlood(in, Clocks.nowUs());
+            case FleetRecords.HEARD -> in.texts().forEach(this::dial);
+            case FleetRecords.FLOOD -> onFlood(l, in);
+            case FleetRecords.FLOOD_CONFIRMED -> {
+                var id = PendingRequests.RequestId.read(in);
+                onFlood(l, new Codec.In(in.blob(), true));
+                answer(l, id, 200, "");
+            }
             case FleetRecords.DIGEST ->
                     registry.mend(in, Clocks.nowUs())
                             .ifPresent(
@@ -518,14 +716,14 @@
                                             Optional.ofNullable(dials.get(l.peer))
                                                     .ifPresent(d -> d.send(b)));
             case FleetRecords.ASK -> {
-                var id = in.i64();
-                askHere(CoreState.Change.read(in), (s, x) -> answerPeer(l, id, s, x));
+                var id = PendingRequests.RequestId.read(in);
+                askHere(CoreState.Change.read(in), (s, x) -> answer(l, id, s, x));
             }
             case FleetRecords.ANSWER -> {
-                var r = Optional.ofNullable(asked.remove(in.i64()));
-                var s = in.i32();
-                var x = in.text();
-                r.ifPresent(f -> f.accept(s, x));
+                if (!peerRequests.answered(
+                        PendingRequests.RequestId.read(in), l, in.i32(), in.text())) {
+                    RingLog.note("link " + l.peer + ": an answer to no request of ours is dropped");
+                }
             }
             case FleetRecords.RENEW -> renew(l, in);
             case FleetRecords.SAMPLE -> onSample(in);
@@ -537,27 +735,50 @@
             }
             case FleetRecords.EDGE_ASK -> edgeAsk(l, in);
             case FleetRecords.DUTY_WANT -> duties.want(in.text(), in.text(), in.i64(), l);
-            case FleetRecords.DUTY_GRANT -> passGrant(record, in);
+            case FleetRecords.DUTY_GRANT -> passGrant(l, record, in);
             case FleetRecords.QUERY ->
                     l.send(new Codec.Out(FleetRecords.TEXT).text(query(in.text())).bytes());
             default -> RingLog.note("link " + l.peer + ": unknown record " + t);
         }
     }
 
+    /**
+     * Rows from another daemon, as old as their sender says and for as long as they were under way.
+     * Ends are told on at once.
+     */
+    private void onFlood(PeerLinks.Link l, Codec.In in) {
+        var now = Clocks.nowUs();
+        registry.takeFlood(in, now - l.delay.measure(in.i64(), now));
+        if (registry.endsChanged()) {
+            tellChanged(now);
+        }
+    }
+
+    private void tellChanged(long now) {
+        var changed = registry.pollChanged();
+        if (!changed.isEmpty()) {
+            var rows = registry.rows(changed, false, now);
+            toHomes((ip, l) -> l.send(rows));
+        }
+    }
+
     private void renew(PeerLinks.Link l, Codec.In in) {
         var now = Clocks.nowUs();
         var e = FleetRecords.Edge.read(in, now);
-        e.heardUs = now;
         var stamp = in.i64();
+        e.heardUs = now - l.delay.measure(stamp, now);
         var holder = in.text();
         var wants = in.texts();
         var cold = in.texts();
         registry.take(e, true);
         if (homes.put(e.ip, l) != l) {
             l.tag = e.ip;
-            configurationWhole(e.ip, l);
+            routesSent.remove(e.ip);
             l.send(registry.rows(registry.replicas(), true, now));
         }
+        if (!routesSent.containsKey(e.ip)) {
+            configurationWhole(e.ip, l);
+        }
         l.send(news(now, stamp, e, cold));
         jobs(e.region, holder, now).ifPresent(l::send);
         wants.forEach(k -> passWant(k, holder, stamp, now));
@@ -572,7 +793,7 @@
                 new Codec.Out(FleetRecords.NEWS)
                         .i64(stamp)
                         .i64(now - startUs + (restored ? 10_000_000 : 0))
-                        .i64(chain.staleUs(now))
+                        .i64(leaving ? FAR_TOO_OLD_US : chain.staleUs(now))
                         .i64(s.edition)
                         .i32(registry.edgeDigest())
                         .i32(mostEdges)
@@ -636,6 +857,7 @@
                                         o.text(j.id)
                                                 .flag(j.state == Job.State.RUNNING)
                                                 .i64(j.fence)
+                                                .i32(j.runs)
                                                 .i64(j.dueUs - at)
                                                 .i64(j.dueUs - j.submittedUs)
                                                 .text(j.prefix())
@@ -682,21 +904,23 @@
     }
 
     private void edgeAsk(PeerLinks.Link l, Codec.In in) {
-        var id = in.i64();
+        var id = PendingRequests.RequestId.read(in);
         var act = CoreState.Act.valueOf(in.text());
-        var c = new CoreState.Change(act, 0, in.text(), "");
+        var subject = in.text();
         var fence = in.i64();
-        var full = new CoreState.Change(act, fence, c.subject, in.text());
+        var version = in.i64();
+        var c = new CoreState.Change(act, fence, subject, in.text()).versioned(version);
         if (!act.ofRunner()) {
-            answerPeer(l, id, 400, "not for an edge");
+            answer(l, id, 400, "not for an edge");
             return;
         }
-        handOver(full, (s, t) -> answerPeer(l, id, s, t));
+        handOver(c, (s, t) -> answer(l, id, s, t));
     }
 
+    /** The roster and who is reached beside it: where an edge or a new core daemon may turn to. */
     private Collection<String> cores() {
         var c = new TreeSet<>(chain.committed().roster);
-        c.addAll(dials.keySet());
+        dials.forEach((ip, d) -> d.link().ifPresent(l -> c.add(ip)));
         c.add(settings.ip);
         return c;
     }
@@ -738,12 +962,26 @@
         return i < 0 ? holder : holder.substring(0, i);
     }
 
-    private void passGrant(byte[] record, Codec.In in) {
-        Optional.ofNullable(homes.get(ipOf(in.text()))).ifPresent(l -> l.send(record));
+    /**
+     * A grant counts from the head of the moment, on our link to it, and not when a newer one is
+     * known here.
+     */
+    private void passGrant(PeerLinks.Link from, byte[] record, Codec.In in) {
+        var holder = in.text();
+        var key = in.text();
+        var ofHead =
+                Optional.ofNullable(dials.get(chain.head()))
+                        .flatMap(PeerLinks.Dial::link)
+                        .filter(h -> h == from)
+                        .isPresent();
+        if (ofHead && !chain.committed().overtaken(key, in.i64())) {
+            Optional.ofNullable(homes.get(ipOf(holder))).ifPresent(l -> l.send(record));
+        }
     }
 
     @Override
     public void onClosed(PeerLinks.Link l) {
+        peerRequests.closed(l, "the link to " + l.peer + " closed before an answer");
         if (l.tag instanceof String ip && homes.get(ip) == l) {
             homes.remove(ip);
             routesSent.remove(ip);
--- a/core/src/main/java/martenloom/core/api/ControlApi.java
+++ b/core/src/main/java/martenloom/core/api/ControlApi.java
@@ -17,6 +17,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import martenloom.common.clock.Clocks;
@@ -41,6 +43,7 @@
     private static final HttpHeader RETRY = HttpHeaders.of("Retry-After");
     private static final int MOST_ADDRESSES = 64;
     private static final int MOST_BODY = 8 << 20;
+    private static final String INSTANCE_ID = "[\\x21-\\x7e]{1,256}";
 
     /** Hands a change to the head of the chain, wherever it is. */
     @FunctionalInterface
@@ -48,29 +51,44 @@
         void ask(CoreState.Change c, BiConsumer<Integer, String> reply);
     }
 
+    /** Tells all that a replica drains or has ended, and then whether a majority knows it. */
+    @FunctionalInterface
+    public interface EndNotice {
+        void tell(String replica, Consumer<Boolean> majorityKnows);
+    }
+
     private final Eventloop loop;
     private final Settings settings;
     private final Registry registry;
+    private final BooleanSupplier acceptsHeartbeats;
     private final OrderForwarder chain;
-    private final Runnable flood;
+    private final EndNotice endNotice;
     private final Supplier<RouteTable> table;
+    private final Supplier<CoreState> committed;
     private final Function<Set<String>, String> outside;
+    private final BooleanSupplier inTouch;
 
     public ControlApi(
             Eventloop loop,
             Settings settings,
             Registry registry,
+            BooleanSupplier acceptsHeartbeats,
             OrderForwarder chain,
-            Runnable flood,
+            EndNotice endNotice,
             Supplier<RouteTable> table,
-            Function<Set<String>, String> outside) {
+            Supplier<CoreState> committed,
+            Function<Set<String>, String> outside,
+            BooleanSupplier inTouch) {
         this.loop = loop;
         this.settings = settings;
         this.registry = registry;
+        this.acceptsHeartbeats = acceptsHeartbeats;
         this.chain = chain;
-        this.flood = flood;
+        this.endNotice = endNotice;
         this.table = table;
+        this.committed = committed;
         this.outside = outside;
+        this.inTouch = inTouch;
     }
 
     @Override
@@ -95,8 +113,8 @@
             case "POST evacuations/*/finish" -> evacuation(seg[2], CoreState.Act.EVAC_FINISH);
             case "POST placements/*/*/unload", "POST placements/*/*/load" ->
                     placement(seg[2], seg[3], seg[4]);
-            case "POST instances/*/heartbeat" -> body(q).then(b -> Promise.of(beat(seg[2], b)));
-            case "POST instances/*/deregister" -> Promise.of(deregister(seg[2]));
+            case "POST instances/*/heartbeat" -> body(q).then(b -> beat(seg[2], b));
+            case "POST instances/*/deregister" -> deregister(seg[2]);
             case "POST jobs/*/submit" -> body(q).then(b -> submit(seg[2], b));
             case "GET jobs" -> ask(new CoreState.Change(CoreState.Act.JOB_LIST, 0, "", ""));
             case "GET jobs/*/describe" -> job(CoreState.Act.JOB_GET, seg[2]);
@@ -156,14 +174,19 @@
             return Promise.of(plain(404, "region '" + g + "' is not known"));
         }
         if (table.get().services.values().stream().noneMatch(s -> s.engine && s.model.equals(m))) {
-            return Promise.of(plain(404, "model '" + m + "' is not known"));
+            return Promise.of(
+                    plain(inTouch.getAsBoolean() ? 404 : 503, "model '" + m + "' is not known"));
         }
         return ask(new CoreState.Change(CoreState.Act.PLACE, 0, g + "/" + m, order));
     }
 
+    /**
+     * Hands a change over. An order gets the version on which it is accepted here, and keeps it
+     * when it is handed over again.
+     */
     private Promise<HttpResponse> ask(CoreState.Change c) {
         var p = new SettablePromise<HttpResponse>();
-        ask(c, Clocks.nowUs(), p);
+        ask(committed.get().accepted(c), Clocks.nowUs(), p);
         return p;
     }
 
@@ -186,7 +209,10 @@
                                     + s
                                     + " "
                                     + (s == 200 ? "" : t));
-                    p.set(plain(s, s == 200 && t.isEmpty() ? "{}" : t));
+                    p.set(
+                            plain(
+                                    s == CoreState.STALE_ORDER ? 503 : s,
+                                    s == 200 && t.isEmpty() ? "{}" : t));
                 });
     }
 
@@ -215,7 +241,7 @@
         if (r.isEmpty()) {
             return Promise.of(
                     plain(
-                            404,
+                            inTouch.getAsBoolean() ? 404 : 503,
                             "Path: no route for host '" + j.host + "' and path '" + j.path + "'"));
         }
         if (j.dueUs < 1_000_000) {
@@ -293,7 +319,10 @@
 
     // ---- replicas
 
-    private HttpResponse beat(String id, String text) {
+    private Promise<HttpResponse> beat(String id, String text) {
+        if (!acceptsHeartbeats.getAsBoolean()) {
+            return Promise.of(outOfContact());
+        }
         try {
             var now = Clocks.nowUs();
             var c = Configurations.body(text);
@@ -319,31 +348,50 @@
             registry.take(r, true);
             if (r.draining) {
                 RingLog.note("replica " + r.id + " drains");
-                flood.run();
+                return acknowledgedByMajority(r.id);
             }
-            return plain(200, "{}");
+            return Promise.of(plain(200, "{}"));
         } catch (Fault | com.typesafe.config.ConfigException e) {
-            return plain(400, "beat: " + String.valueOf(e.getMessage()).replace('\n', ' '));
+            var why = String.valueOf(e.getMessage()).replace('\n', ' ');
+            return Promise.of(plain(400, "beat: " + why));
+        }
+    }
+
+    /** Nothing that is taken here would reach an edge: the replica goes on to another daemon. */
+    private HttpResponse outOfContact() {
+        return plain(503, "no contact with a majority of the core at " + settings.ip);
+    }
+
+    /**
+     * Ends a replica for good, also one that is not known here yet: its beats may come later than
+     * this.
+     */
+    private Promise<HttpResponse> deregister(String id) {
+        var instance = URLDecoder.decode(id, StandardCharsets.UTF_8);
+        if (!instance.matches(INSTANCE_ID)) {
+            var why = "instance: 1 to 256 printable characters are expected";
+            return Promise.of(plain(400, why));
         }
+        RingLog.note("replica " + instance + " is deregistered");
+        registry.bury(instance, Clocks.nowUs());
+        return acknowledgedByMajority(instance);
     }
 
-    private HttpResponse deregister(String id) {
-        registry.replica(URLDecoder.decode(id, StandardCharsets.UTF_8))
-                .ifPresent(
-                        r -> {
-                            var n = new FleetRecords.Replica();
-                            n.id = r.id;
-                            n.service = r.service;
-                            n.address = r.address;
-                            n.zone = r.zone;
-                            n.seq = r.seq + 1;
-                            n.gone = true;
-                            n.draining = true;
-                            n.heardUs = Clocks.nowUs();
-                            registry.take(n, true);
-                            flood.run();
-                        });
-        return plain(200, "{}");
+    /**
+     * Acknowledges that a replica drains or has ended once a majority of the core knows it. A
+     * daemon that is cut off has told those it can reach, but cannot promise that all will know in
+     * time, so it gives no acknowledgement and the replica turns to another.
+     */
+    private Promise<HttpResponse> acknowledgedByMajority(String replica) {
+        var answer = new SettablePromise<HttpResponse>();
+        endNotice.tell(
+                replica,
+                known ->
+                        answer.set(
+                                known
+                                        ? plain(200, "{}")
+                                        : plain(503, "no majority confirmed it, ask another")));
+        return answer;
     }
 
     // ---- clients
@@ -351,17 +399,12 @@
     private HttpResponse lookup(HttpRequest q) {
         var zone = Optional.ofNullable(q.getQueryParameter("Zone")).orElse("");
         var region = Optional.ofNullable(q.getQueryParameter("Region")).orElse("");
+        var host = Optional.ofNullable(q.getQueryParameter("Name")).orElse("");
         var open =
                 registry.members(Clocks.nowUs()).stream()
                         .filter(e -> e.ready && !e.leaving)
                         .toList();
-        var near = open.stream().filter(e -> e.zone.equals(zone)).toList();
-        if (near.isEmpty()) {
-            near = open.stream().filter(e -> e.region.equals(region)).toList();
-        }
-        if (near.isEmpty()) {
-            near = open;
-        }
+        var near = EdgeDirectory.choose(open, zone, region, EdgeDirectory.homes(table.get(), host));
         if (near.isEmpty()) {
             return plain(503, "no edge is ready");
         }
--- a/edge/src/main/java/martenloom/edge/EdgeDaemon.java
+++ b/edge/src/main/java/martenloom/edge/EdgeDaemon.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -21,10 +22,9 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import martenloom.autoscaler.ScaleSettings;
@@ -33,10 +33,12 @@
 import martenloom.common.fleet.FleetRecords;
 import martenloom.common.link.LinkTraffic;
 import martenloom.common.link.PeerLinks;
+import martenloom.common.link.PendingRequests;
 import martenloom.common.log.RingLog;
 import martenloom.common.settings.Settings;
 import martenloom.edge.dispatch.ClientConnection;
 import martenloom.edge.dispatch.RequestDispatcher;
+import martenloom.edge.duty.HeldDuties;
 import martenloom.edge.jobs.JobRunner;
 import martenloom.edge.overload.Overload;
 import martenloom.edge.replica.ReplicaTable;
@@ -54,16 +56,44 @@
     private static final long SAMPLE_US = 100_000;
     private static final long REPORT_US = 250_000;
     private static final long SCALE_US = 200_000;
-    private static final long STALE_US = 1_200_000;
+    private static final long STALE_US = 1_500_000;
     private static final long SILENCE_US = 1_400_000;
+    private static final long REDIAL_US = 150_000;
+
+    /** How long a daemon may take to answer before another is tried. */
+    private static final long REACH_US = 700_000;
+
+    /** How long a daemon that was no good as a home is passed over. */
+    private static final long AVOID_US = 3_000_000;
+
+    /** How long a new home may be stale before a better one is sought. */
+    private static final long SETTLE_US = 800_000;
+
+    /** How long a home outside the own zone is kept before one in the zone is asked. */
+    private static final long RETURN_US = 6_000_000;
+
+    private static final long ASK_US = 3_000_000;
+
+    /** The records that count only from the home of the moment, on the link to it. */
+    private static final Set<Integer> OF_THE_HOME =
+            Set.of(
+                    FleetRecords.NEWS,
+                    FleetRecords.CONFIGURATION,
+                    FleetRecords.REPLICAS,
+                    FleetRecords.DUTY_GRANT,
+                    FleetRecords.JOBS,
+                    FleetRecords.ANSWER,
+                    FleetRecords.WHOLE_SUM,
+                    FleetRecords.REPORT);
 
     private final Settings settings;
     private final Eventloop loop;
     private final RequestDispatcher dispatcher;
     private final ReplicaTable replicaTable;
     private final JobRunner jobs;
-    private final Map<Long, BiConsumer<Integer, String>> asked = new HashMap<>();
-    private long asks;
+    private final PendingRequests<PeerLinks.Link> homeRequests =
+            new PendingRequests<>(new SecureRandom().nextLong());
+    private long scaleOrders;
     private boolean jobsLive;
     private final long life = System.nanoTime() ^ ThreadLocalRandom.current().nextLong();
     private final Set<String> cores = new LinkedHashSet<>();
@@ -72,9 +102,19 @@
     private final ScaleRunner scaler;
     private int edgesNow;
     private final OverloadReporting reporting;
-    private final Map<String, Duty> duties = new TreeMap<>();
+    private final HeldDuties duties = new HeldDuties();
+    private Optional<SimpleServer> frontend = Optional.empty();
     private Optional<PeerLinks.Dial> home = Optional.empty();
     private String homeIp = "";
+
+    /**
+     * A daemon that is asked whether it would be a better home; the present one is kept until it
+     * says so.
+     */
+    private Optional<PeerLinks.Dial> candidate = Optional.empty();
+
+    private String candidateIp = "";
+    private long candidateSinceUs;
     private long homeSinceUs;
     private long homePickedUs;
     private long seq;
@@ -88,12 +128,6 @@
     private int most = 1;
     private int turn;
 
-    /** A duty this edge holds, until a moment on its own clock. */
-    private static final class Duty {
-        long grant;
-        long untilUs;
-    }
-
     public EdgeDaemon(Settings p, Eventloop loop) {
         this(p, loop, ScaleSettings.DEFAULT);
     }
@@ -115,6 +149,7 @@
                                         "SCALE",
                                         key,
                                         g,
+                                        ++scaleOrders,
                                         Stream.concat(
                                                         Stream.of(
                                                                 n == ScaleRunner.ALL
@@ -168,11 +203,13 @@
                 .withListenAddress(Settings.address("Readiness", settings.need("Readiness")))
                 .build()
                 .listen();
-        SimpleServer.builder(loop, s -> new ClientConnection(loop, s, dispatcher))
-                .withSocketSettings(SocketSettings.builder().withTcpNoDelay(true).build())
-                .withListenAddress(Settings.address("Frontend", settings.need("Frontend")))
-                .build()
-                .listen();
+        var front =
+                SimpleServer.builder(loop, s -> new ClientConnection(loop, s, dispatcher))
+                        .withSocketSettings(SocketSettings.builder().withTcpNoDelay(true).build())
+                        .withListenAddress(Settings.address("Frontend", settings.need("Frontend")))
+                        .build();
+        front.listen();
+        frontend = Optional.of(front);
         pickHome();
         Clocks.every(loop, 20_000, dispatcher::tick);
         Clocks.every(loop, 500_000, dispatcher::sweep);
@@ -186,50 +223,57 @@
 
     // ---- leaving
 
-    /**
-     * Called from another thread at SIGTERM; returns when everything in hand is finished or the
-     * grace is nearly over.
-     */
+    /** Called from another thread at SIGTERM; returns when this edge may end. */
     public void leave() {
-        var done = new CountDownLatch(1);
-        var t0 = Clocks.nowUs();
+        var departure =
+                new Departure(
+                        loop,
+                        dispatcher,
+                        settings.bounds,
+                        () -> frontend.ifPresent(SimpleServer::close));
         loop.execute(
                 () -> {
                     leaving = true;
                     RingLog.note("leaving");
                     renew();
-                    Clocks.after(loop, 1_800_000, dispatcher::leave);
-                    var g = (long) (settings.bounds.graceS * 1_000_000);
-                    waitOut(t0 + g - 900_000, t0 + Math.min(5_200_000, g * 65 / 100), done);
+                    departure.begin();
                 });
-        try {
-            done.await((long) (settings.bounds.graceS * 1000) - 500, TimeUnit.MILLISECONDS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
-    private void waitOut(long endUs, long lingerUs, CountDownLatch done) {
-        var now = Clocks.nowUs();
-        if (now >= endUs || now >= lingerUs && dispatcher.inHand() == 0) {
-            dispatcher.closeIdle();
-            done.countDown();
-            return;
-        }
-        Clocks.after(loop, 50_000, () -> waitOut(endUs, lingerUs, done));
+        departure.await();
     }
 
     // ---- the home
 
-    private void pickHome() {
-        var now = Clocks.nowUs();
+    /** The core daemons in the order in which this edge would take them as its home. */
+    private List<String> homesByPreference(long now) {
         settings.seeds.forEach(s -> cores.add(s.substring(0, s.lastIndexOf(':'))));
         var l = new ArrayList<>(cores);
-        var net = settings.ip.substring(0, settings.ip.lastIndexOf('.') + 1);
         l.sort(
-                Comparator.<String>comparingLong(c -> avoid.getOrDefault(c, 0L) > now ? 1 : 0)
-                        .thenComparing(c -> !c.startsWith(net))
+                Comparator.<String>comparingInt(c -> avoided(c, now) ? 1 : 0)
+                        .thenComparing(c -> !inOwnZone(c))
                         .thenComparingInt(c -> (c + settings.ip).hashCode()));
+        return l;
+    }
+
+    private boolean avoided(String ip, long now) {
+        return avoid.getOrDefault(ip, 0L) > now;
+    }
+
+    private boolean inOwnZone(String ip) {
+        return ip.startsWith(settings.ip.substring(0, settings.ip.lastIndexOf('.') + 1));
+    }
+
+    private PeerLinks.Dial dial(String ip) {
+        return new PeerLinks.Dial(
+                loop,
+                Settings.address("home", ip + ":" + settings.portLow),
+                REDIAL_US,
+                x -> x.send(renewal()),
+                this);
+    }
+
+    private void pickHome() {
+        var now = Clocks.nowUs();
+        var l = homesByPreference(now);
         if (l.isEmpty()) {
             return;
         }
@@ -237,25 +281,67 @@
         homeSinceUs = now;
         homePickedUs = now;
         synced = false;
-        home =
-                Optional.of(
-                        new PeerLinks.Dial(
-                                loop,
-                                Settings.address("home", homeIp + ":" + settings.portLow),
-                                150_000,
-                                x -> {
-                                    x.send(renewal());
-                                },
-                                this));
+        home = Optional.of(dial(homeIp));
     }
 
     private void leaveHome(String why) {
         RingLog.note("home " + homeIp + " is left: " + why);
-        avoid.put(homeIp, Clocks.nowUs() + 3_000_000);
+        avoid.put(homeIp, Clocks.nowUs() + AVOID_US);
+        dropCandidate();
         home.ifPresent(PeerLinks.Dial::stop);
         pickHome();
     }
 
+    // ---- a better home: asked first, then taken
+
+    /** Asks the next daemon that may be a better home, one at a time. */
+    private void seekHome(Predicate<String> which, long now) {
+        if (candidate.isPresent()) {
+            return;
+        }
+        homesByPreference(now).stream()
+                .filter(c -> !c.equals(homeIp) && !avoided(c, now) && which.test(c))
+                .findFirst()
+                .ifPresent(
+                        c -> {
+                            candidateIp = c;
+                            candidateSinceUs = now;
+                            candidate = Optional.of(dial(c));
+                        });
+    }
+
+    private void dropCandidate() {
+        candidate.ifPresent(PeerLinks.Dial::stop);
+        candidate = Optional.empty();
+    }
+
+    private void passOverCandidate(String why) {
+        RingLog.note("home " + homeIp + " is kept: " + candidateIp + " is " + why);
+        avoid.put(candidateIp, Clocks.nowUs() + AVOID_US);
+        dropCandidate();
+    }
+
+    private boolean isCandidate(PeerLinks.Link l) {
+        return candidate.flatMap(PeerLinks.Dial::link).filter(x -> x == l).isPresent();
+    }
+
+    /**
+     * The candidate is in contact with a majority: it is the home from now on, and its whole state
+     * is asked for.
+     */
+    private void takeCandidate() {
+        RingLog.note("home " + homeIp + " is left for " + candidateIp);
+        avoid.put(homeIp, Clocks.nowUs() + AVOID_US);
+        var old = home;
+        home = candidate;
+        homeIp = candidateIp;
+        homePickedUs = Clocks.nowUs();
+        homeSinceUs = homePickedUs;
+        candidate = Optional.empty();
+        old.ifPresent(PeerLinks.Dial::stop);
+        home.ifPresent(d -> d.send(new Codec.Out(FleetRecords.RESYNC).bytes()));
+    }
+
     private byte[] renewal() {
         var now = Clocks.nowUs();
         var e = new FleetRecords.Edge();
@@ -299,50 +385,45 @@
         var now = Clocks.nowUs();
         var fresh = now - load.wholeUs() < SILENCE_US;
         scaler.tick(
-                holds(scaleDuty()) ? duties.get(scaleDuty()).grant : 0,
+                duties.grantInForce(scaleDuty(), now).orElse(0L),
                 load.whole(),
                 fresh && load.whole().edges() * 3 >= edgesNow * 2,
                 now);
     }
 
     private boolean holds(String key) {
-        var d = Optional.ofNullable(duties.get(key));
-        return d.isPresent() && Clocks.nowUs() < d.get().untilUs;
+        return duties.holds(key, Clocks.nowUs());
     }
 
     // ---- words to the core about jobs
 
+    /**
+     * Asks the core by the home; the version tells the request from a late copy, see
+     * CoreState.Change.
+     */
     private void askCore(
-            String act, String job, long fence, String body, BiConsumer<Integer, String> reply) {
+            String act,
+            String subject,
+            long fence,
+            long version,
+            String body,
+            BiConsumer<Integer, String> reply) {
         var l = home.flatMap(PeerLinks.Dial::link);
         if (l.isEmpty()) {
             loop.post(() -> reply.accept(503, "no home"));
             return;
         }
-        var id = ++asks;
-        asked.put(id, reply);
-        l.get()
-                .send(
-                        new Codec.Out(FleetRecords.EDGE_ASK)
-                                .i64(id)
-                                .text(act)
-                                .text(job)
-                                .i64(fence)
-                                .text(body)
-                                .bytes());
-        Clocks.after(
-                loop,
-                3_000_000,
-                () ->
-                        Optional.ofNullable(asked.remove(id))
-                                .ifPresent(r -> r.accept(503, "no reply")));
+        var id = homeRequests.open(l.get(), reply);
+        var o = new Codec.Out(FleetRecords.EDGE_ASK);
+        id.write(o);
+        l.get().send(o.text(act).text(subject).i64(fence).i64(version).text(body).bytes());
+        Clocks.after(loop, ASK_US, () -> homeRequests.expire(id, "no reply"));
     }
 
-    private void onAnswer(Codec.In in) {
-        var r = Optional.ofNullable(asked.remove(in.i64()));
-        var s = in.i32();
-        var t = in.text();
-        r.ifPresent(x -> x.accept(s, t));
+    private void onAnswer(PeerLinks.Link l, Codec.In in) {
+        if (!homeRequests.answered(PendingRequests.RequestId.read(in), l, in.i32(), in.text())) {
+            RingLog.note("link " + l.peer + ": an answer to no request of ours is dropped");
+        }
     }
 
     private void onJobs(Codec.In in) {
@@ -350,8 +431,8 @@
                 in.list(
                         x ->
                                 new JobRunner.Line(
-                                        x.text(), x.flag(), x.i64(), x.i64(), x.i64(), x.text(),
-                                        x.text())));
+                                        x.text(), x.flag(), x.i64(), x.i32(), x.i64(), x.i64(),
+                                        x.text(), x.text())));
     }
 
     private Collection<String> wants() {
@@ -377,6 +458,9 @@
 
     private void renew() {
         var now = Clocks.nowUs();
+        if (candidate.isPresent() && now - candidateSinceUs > REACH_US) {
+            passOverCandidate("not reached");
+        }
         var l = home.flatMap(PeerLinks.Dial::link);
         if (l.isPresent()) {
             if (now - l.get().heardUs > SILENCE_US) {
@@ -384,30 +468,36 @@
                 return;
             }
             l.get().send(renewal());
-            var net = settings.ip.substring(0, settings.ip.lastIndexOf('.') + 1);
-            if (!homeIp.startsWith(net)
-                    && now - homePickedUs > 6_000_000
-                    && cores.stream()
-                            .anyMatch(c -> c.startsWith(net) && avoid.getOrDefault(c, 0L) < now)) {
-                home.ifPresent(PeerLinks.Dial::stop);
-                pickHome();
+            if (!inOwnZone(homeIp) && now - homePickedUs > RETURN_US) {
+                seekHome(this::inOwnZone, now);
             }
-        } else if (now - homeSinceUs > 700_000) {
+        } else if (now - homeSinceUs > REACH_US) {
             leaveHome("not reached");
         }
     }
 
-    private void onNews(Codec.In in) {
+    private void onNews(PeerLinks.Link l, Codec.In in) {
         var now = Clocks.nowUs();
         var stamp = in.i64();
         var up = in.i64();
         var stale = in.i64();
+        if (isCandidate(l)) {
+            if (stale >= STALE_US) {
+                passOverCandidate("stale by " + stale / 1000 + " ms");
+                return;
+            }
+            takeCandidate();
+        }
         var ed = in.i64();
         var digest = in.i32();
         most = Math.max(most, in.i32());
         edgesNow = in.i32();
         most = Math.max(most, edgesNow);
-        cores.addAll(in.texts());
+        var known = in.texts();
+        if (stale < STALE_US) {
+            cores.clear();
+        }
+        cores.addAll(known);
         dispatcher.onEdges(most);
         jobsLive = in.flag();
         replicaTable.lent(
@@ -422,9 +512,8 @@
             if (firstNewsUs == 0 && edition > 0) {
                 firstNewsUs = now;
             }
-        } else if (now - homePickedUs > 800_000 && cores.size() > 1) {
-            leaveHome("stale by " + stale / 1000 + " ms");
-            return;
+        } else if (now - homePickedUs > SETTLE_US) {
+            seekHome(c -> true, now);
         }
         becomeReady(now, up);
     }
@@ -517,24 +606,18 @@
         if (!in.text().equals(holder())) {
             return;
         }
-        var d = duties.computeIfAbsent(in.text(), k -> new Duty());
-        d.grant = in.i64();
-        var stamp = in.i64();
-        d.untilUs = Math.max(d.untilUs, stamp + in.i64() - 300_000);
-        if (duties.get(jobDuty()) == d) {
-            jobs.onGrant(d.grant);
+        var key = in.text();
+        var grant = in.i64();
+        if (duties.granted(key, grant, in.i64(), in.i64(), Clocks.nowUs())
+                && key.equals(jobDuty())) {
+            jobs.onGrant(grant);
         }
     }
 
     private void report() {
         var now = Clocks.nowUs();
-        var held = new TreeMap<String, Long>();
-        duties.forEach(
-                (key, d) -> {
-                    if (now < d.untilUs && !key.equals(jobDuty()) && !key.equals(scaleDuty())) {
-                        held.put(key, d.grant);
-                    }
-                });
+        var held = duties.held(now);
+        held.keySet().removeAll(List.of(jobDuty(), scaleDuty()));
         reporting.tick(held, now);
     }
 
@@ -557,18 +640,30 @@
     @Override
     public void onRecord(PeerLinks.Link l, byte[] record) {
         var in = new Codec.In(record, true);
+        if (isCandidate(l)) {
+            if (in.type == FleetRecords.NEWS) {
+                onNews(l, in);
+            }
+            return;
+        }
+        if (OF_THE_HOME.contains(in.type)
+                && home.flatMap(PeerLinks.Dial::link).filter(h -> h == l).isEmpty()) {
+            RingLog.note(
+                    "link " + l.peer + ": record " + in.type + " is not from the home, dropped");
+            return;
+        }
         switch (in.type) {
             case FleetRecords.HELLO -> {
                 l.peer = in.text();
                 l.send(new Codec.Out(FleetRecords.HEARD).bytes());
             }
             case FleetRecords.HEARD -> {}
-            case FleetRecords.NEWS -> onNews(in);
+            case FleetRecords.NEWS -> onNews(l, in);
             case FleetRecords.CONFIGURATION -> onConfiguration(in);
             case FleetRecords.REPLICAS -> onReplicas(in);
             case FleetRecords.DUTY_GRANT -> onGrant(in);
             case FleetRecords.JOBS -> onJobs(in);
-            case FleetRecords.ANSWER -> onAnswer(in);
+            case FleetRecords.ANSWER -> onAnswer(l, in);
             case FleetRecords.WHOLE_SUM -> load.onWhole(in, Clocks.nowUs());
             case FleetRecords.REPORT -> onReport(Overload.Report.read(in));
             case FleetRecords.QUERY ->
@@ -579,6 +674,7 @@
 
     @Override
     public void onClosed(PeerLinks.Link l) {
+        homeRequests.closed(l, "the link to the home closed before an answer");
         RingLog.note("link " + l.peer + " closed");
     }
 
@@ -646,15 +742,7 @@
                                                                         r.percent())));
                                         b.append('\n');
                                     });
-            case "leases" ->
-                    duties.forEach(
-                            (k, d) ->
-                                    b.append(
-                                            String.format(
-                                                    "%s grant %d left %d ms\n",
-                                                    k,
-                                                    d.grant,
-                                                    Math.max(0, d.untilUs - now) / 1000)));
+            case "leases" -> b.append(duties.text(now));
             case "replicas" ->
                     replicaTable
                             .all()
--- a/edge/src/main/java/martenloom/edge/dispatch/RequestDispatcher.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/RequestDispatcher.java
@@ -1,11 +1,7 @@
 package martenloom.edge.dispatch;
 
 import io.activej.eventloop.Eventloop;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -14,7 +10,6 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
-import java.util.TreeMap;
 import martenloom.common.clock.Clocks;
 import martenloom.common.fleet.FleetRecords;
 import martenloom.common.load.LoadSummary;
@@ -30,13 +25,11 @@
 
 /**
  * The owner of all requests at this edge. Clients and attempts tell it events; it answers with
- * commands: a attempt to a replica, a wait in the queue, an answer, a cut. Admission, further
+ * commands: an attempt at a replica, a wait in the queue, an answer, a cut. Admission, further
  * attempts and their budget are decided here; which replica is the chooser's.
  */
-public final class RequestDispatcher implements ClientConnection.RequestDispatcher, Attempt.Owner {
-    private static final int QUEUE = 1024;
-    private static final long WONDER_US = 250_000;
-
+public final class RequestDispatcher
+        implements ClientConnection.RequestDispatcher, Attempt.Owner, RequestQueues.Owner {
     private final Eventloop loop;
     private final Settings settings;
     public final ReplicaTable replicaTable;
@@ -44,10 +37,12 @@
     public final PrefixOwners places = new PrefixOwners();
     public final Overload.Receiver reports = new Overload.Receiver();
     private final Set<ClientConnection> clients = new LinkedHashSet<>();
-    private final Map<String, Deque<Request>> queues = new TreeMap<>();
+    private final RequestQueues queues = new RequestQueues(this);
+    private final SilenceWatch silence = new SilenceWatch(this::table, this::move);
     private final Map<Request, Clocks.Timer> deadlines = new HashMap<>();
     private final ReplicaSelector chooser;
     private boolean leaving;
+    private final LateRequestPolicy late = new LateRequestPolicy();
     private final long startUs = Clocks.nowUs();
     private int ticket = new Random().nextInt(1 << 20);
     public final Counters counters = new Counters();
@@ -103,10 +98,41 @@
         return chooser.spilled();
     }
 
-    public void leave() {
+    /**
+     * From now on answers carry "Connection: close", and idle connections are closed after a
+     * moment.
+     */
+    public void closeConnections() {
         leaving = true;
     }
 
+    /**
+     * From now on only requests are begun that should end before this moment, by the longest time
+     * that their route took lately, and streams that may last longer than that are withheld until
+     * they are whole; the others are refused.
+     */
+    public void takeOnlyUntil(long endUs) {
+        late.takeOnlyUntil(endUs);
+    }
+
+    /**
+     * Whether a client still waits for anything: for an answer, or for bytes of one that are on
+     * their way out.
+     */
+    public boolean holdsAnything() {
+        return deadlines.keySet().stream().anyMatch(e -> e.deferred == 0)
+                || clients.stream().anyMatch(ClientConnection::unsent);
+    }
+
+    /** Ends all that is in hand: what is not yet answered gets an answer, and streams are cut. */
+    public void endAll() {
+        for (var e : List.copyOf(deadlines.keySet())) {
+            if (e.deferred == 0) {
+                endUnfinished(e);
+            }
+        }
+    }
+
     public int inHand() {
         return deadlines.size();
     }
@@ -206,11 +232,19 @@
             r.whole(ClientConnection.plain(404, ""), new byte[0]);
             return;
         }
-        var e = new Request(h, body, route.get(), route.get().service(ticket += 61), r, now);
+        var e =
+                new Request(
+                        h,
+                        body,
+                        route.get(),
+                        route.get().service(ticket += 61),
+                        late.sink(r, route.get(), now),
+                        r.beganUs(),
+                        now);
         r.request = Optional.of(e);
         budget.request(e.service, now);
         replicaTable.weigh(e);
-        if (e.deadlineUs <= now + 1000) {
+        if (e.deadlineUs <= now + 1000 || late.tooLate(e, now)) {
             refuse(e, 0.1);
             return;
         }
@@ -245,7 +279,9 @@
         if (route.isEmpty()) {
             return Optional.empty();
         }
-        var e = new Request(h, body, route.get(), route.get().service(ticket += 61), sink, now);
+        var e =
+                new Request(
+                        h, body, route.get(), route.get().service(ticket += 61), sink, now, now);
         e.deferred = urgency + 1;
         e.lastEvent = lastEvent;
         deadlines.put(e, Clocks.after(loop, e.deadlineUs - now, () -> onDeadline(e)));
@@ -263,7 +299,8 @@
 
     // ---- queue
 
-    private long holdUs(Request e) {
+    @Override
+    public long holdUs(Request e) {
         if (chooser.asleep(e)) {
             return (e.deadlineUs - e.arrivedUs) / 2;
         }
@@ -271,49 +308,17 @@
     }
 
     private void enqueue(Request e, long now) {
-        var box = queues.computeIfAbsent(e.service, k -> new ArrayDeque<>());
         if (e.deferred > 0) {
             giveUp(e);
         } else if (e.sent > 0 && e.mayHaveRun && !e.route.repeatable()) {
             fail(e, 502);
-        } else if (box.size() >= QUEUE) {
+        } else if (!queues.add(e)) {
             refuse(e, 1);
-        } else {
-            box.addLast(e);
         }
     }
 
-    private void drainQueues(long now) {
-        for (var box : queues.values()) {
-            if (box.isEmpty()) {
-                continue;
-            }
-            var l = new ArrayList<>(box);
-            l.sort(
-                    Comparator.comparingInt((Request e) -> e.route.rank)
-                            .thenComparingLong(e -> e.arrivedUs));
-            box.clear();
-            for (var e : l) {
-                if (e.done()) {
-                    continue;
-                }
-                if (dispatch(e, now)) {
-                    continue;
-                }
-                var limit =
-                        e.sent > 0
-                                ? Math.max(holdUs(e), (e.deadlineUs - e.arrivedUs) / 2)
-                                : holdUs(e);
-                if (now - e.arrivedUs > limit) {
-                    refuse(e, 0.4);
-                } else {
-                    box.addLast(e);
-                }
-            }
-        }
-    }
-
-    private boolean dispatch(Request e, long now) {
+    @Override
+    public boolean dispatch(Request e, long now) {
         var s = chooser.choose(e, now);
         if (s.isEmpty()) {
             return false;
@@ -446,7 +451,9 @@
         if (e.done()) {
             return;
         }
-        answered(l.slot, true, Clocks.nowUs());
+        var now = Clocks.nowUs();
+        answered(l.slot, true, now);
+        late.onAnswered(e, now);
         finish(e);
         counters.served++;
         e.sink.event(rest);
@@ -479,6 +486,12 @@
             again(e);
             return;
         }
+        if (promises(h.status()) && !e.route.repeatable()) {
+            e.mayHaveRun = true;
+            fail(e, 502);
+            return;
+        }
+        late.onAnswered(e, now);
         finish(e);
         counters.served++;
         h.dropHop();
@@ -486,14 +499,25 @@
         room();
     }
 
+    /**
+     * Statuses that tell a client that its request was not run: a replica that has run it may not
+     * say so through us.
+     */
+    private static boolean promises(int status) {
+        return status == 408 || status == 429 || status == 503;
+    }
+
     @Override
     public void onFailed(Attempt l, Attempt.Failure f, Optional<Head> h) {
         uncount(l);
         var e = l.request;
         var now = Clocks.nowUs();
         RingLog.note("attempt of " + e.id + " at " + l.slot.row.id + " failed: " + f);
+        var expired = now >= e.deadlineUs - 1000;
         if (f == Attempt.Failure.UNSENT) {
-            l.slot.hold(700_000, now);
+            if (!expired) {
+                l.slot.hold(700_000, now);
+            }
         } else {
             e.sent++;
         }
@@ -508,7 +532,9 @@
         }
         e.tried.add(l.slot.row.id);
         e.attempt = Optional.empty();
-        if (f == Attempt.Failure.UNSENT) {
+        if (f == Attempt.Failure.UNSENT && expired) {
+            onDeadline(e);
+        } else if (f == Attempt.Failure.UNSENT) {
             e.tried.remove(l.slot.row.id);
             retryOr(e, now);
         } else if (f == Attempt.Failure.CUT && !e.route.resumable) {
@@ -574,7 +600,8 @@
         }
     }
 
-    private void refuse(Request e, double waitS) {
+    @Override
+    public void refuse(Request e, double waitS) {
         if (e.state() == Request.State.STREAMING) {
             cutOff(e);
             return;
@@ -617,6 +644,11 @@
             return;
         }
         counters.timeouts++;
+        endUnfinished(e);
+    }
+
+    /** A final answer for a request whose time is over: a promise only where it never ran. */
+    private void endUnfinished(Request e) {
         var l = e.attempt;
         var sent = l.isPresent() && l.get().state() != Attempt.State.OPENING;
         e.mayHaveRun |= sent;
@@ -633,12 +665,12 @@
     private boolean roomPosted;
 
     private void room() {
-        if (!roomPosted && queues.values().stream().anyMatch(b -> !b.isEmpty())) {
+        if (!roomPosted && queues.anyWaits()) {
             roomPosted = true;
             loop.post(
                     () -> {
                         roomPosted = false;
-                        drainQueues(Clocks.nowUs());
+                        queues.drain(Clocks.nowUs());
                     });
         }
     }
@@ -648,9 +680,9 @@
     /** Every 20 ms: the queues, and replicas that have gone quiet with attempts in hand. */
     public void tick() {
         var now = Clocks.nowUs();
-        drainQueues(now);
+        queues.drain(now);
         for (var s : List.copyOf(replicaTable.all())) {
-            quiet(s, now);
+            silence.check(s, now);
         }
     }
 
@@ -668,53 +700,6 @@
         }
     }
 
-    private void quiet(ReplicaTable.Slot s, long now) {
-        if (s.attempts.isEmpty() || s.quietSinceUs == 0 && now - s.heardUs < 300_000) {
-            s.wondering = false;
-            return;
-        }
-        var first = s.attempts.stream().filter(l -> l.sentUs > 0).mapToLong(l -> l.sentUs).min();
-        var since = Math.max(s.heardUs, first.orElse(now));
-        var patience = patience(s);
-        s.wondering = now - since > Math.max(patience / 2, patience - WONDER_US);
-        if (now - since < patience || s.othersHear(now) && now - since < patience * 2) {
-            return;
-        }
-        if (s.suspectUntilUs < now) {
-            RingLog.note(
-                    "replica " + s.row.id + " is quiet with " + s.attempts.size() + " attempts");
-        }
-        s.suspectUntilUs = Math.max(s.suspectUntilUs, now + 500_000);
-        s.doubtful = true;
-        for (var l : List.copyOf(s.attempts)) {
-            move(l, now);
-        }
-    }
-
-    /**
-     * How long a replica with attempts in hand may say nothing. One event of a stream holds some
-     * tokens, and between any two of them a piece of another prompt may be read, so a stream that
-     * runs may pause for as many pieces.
-     */
-    private long patience(ReplicaTable.Slot s) {
-        var svc = table().services.get(s.row.service);
-        if (svc == null || !svc.engine) {
-            return (long) Math.max(200_000, s.workUs * 5 + s.rttUs);
-        }
-        var unread = s.unread + s.othersUnread(Clocks.nowUs());
-        for (var l : s.attempts) {
-            if (l.started()) {
-                return (long)
-                        (450_000
-                                + s.rttUs
-                                + Math.min(unread, ReplicaTable.PIECE * svc.stepSize)
-                                        / s.rate
-                                        * 1000);
-            }
-        }
-        return (long) (500_000 + s.rttUs + unread / s.rate * 2000);
-    }
-
     /**
      * Takes a repeatable request off a replica that has gone quiet, when another replica and the
      * budget allow.
--- a/launcher/src/test/java/martenloom/launcher/harness/TestCluster.java
+++ b/launcher/src/test/java/martenloom/launcher/harness/TestCluster.java
@@ -8,6 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -19,6 +20,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import martenloom.autoscaler.ScaleSettings;
@@ -37,6 +39,7 @@
  */
 public final class TestCluster implements Closeable {
     private static final int PORT = PortBlock.port(17720);
+    private static final int CUT_OFF_PORT = PortBlock.port(17820);
     private static final int CONTROL = PortBlock.port(18166);
     private static final int FRONT = PortBlock.port(18161);
     public static final int READY = PortBlock.port(18167);
@@ -48,6 +51,8 @@
     private final Map<String, Eventloop> loops = new TreeMap<>();
     private final Map<String, Thread> threads = new TreeMap<>();
     private final Map<String, Disk> disks = new ConcurrentHashMap<>();
+    private final Map<Integer, Settings> edgeSettings = new ConcurrentHashMap<>();
+    private final Map<String, CoreDaemon> cores = new ConcurrentHashMap<>();
     private final Map<String, EdgeDaemon> edges = new TreeMap<>();
     public final List<StandInReplica> replicas = new ArrayList<>();
     private final ScheduledExecutorService beats =
@@ -173,6 +178,14 @@
     }
 
     private Settings settings(String ip, int i, String role, boolean bootstrap) {
+        return settings(ip, i, role, bootstrap, PORT);
+    }
+
+    private Settings settings(String ip, int i, String role, boolean bootstrap, int port) {
+        return Settings.parse(settingsText(ip, i, role, bootstrap, port));
+    }
+
+    private String settingsText(String ip, int i, String role, boolean bootstrap, int port) {
         var zone = ZONES.get(i % 3);
         var l =
                 role.equals("core")
@@ -186,56 +199,117 @@
                                 + ":"
                                 + READY
                                 + "\"\n";
-        return Settings.parse(
-                "NodeName = \""
-                        + role
-                        + i
-                        + "\"\nIpAddress = \""
-                        + ip
-                        + "\"\nZone = \""
-                        + zone
-                        + "\"\nRegion = \""
-                        + zone.split("-")[0]
-                        + "\"\n"
-                        + "InternalPortRange = ["
-                        + PORT
-                        + ","
-                        + (PORT + 10)
-                        + "]\nSeedNodes = ["
-                        + seeds.stream().map(s -> '"' + s + '"').collect(Collectors.joining(","))
-                        + "]\n"
-                        + "Bootstrap = "
-                        + bootstrap
-                        + "\nQuorumMember = "
-                        + role.equals("core")
-                        + "\nDataDirectory = \""
-                        + dir.resolve(role + i)
-                        + "\"\nHeartbeatIntervalMs = 300\n"
-                        + "Serves = [\""
-                        + role
-                        + "\"]\n[Zones]\n"
-                        + ZONES.stream()
-                                .map(h -> h + " = \"" + h.split("-")[0] + "\"\n")
-                                .collect(Collectors.joining())
-                        + "[ListenAddresses]\n"
-                        + l
-                        + "[Limits]\n"
-                        + "MaxFileDescriptors = 2000\n"
-                        + "[Bounds]\n"
-                        + "GracePeriodS = 4\n"
-                        + "RetrySlack = 50\n"
-                        + "RetryBudgetRatio = 0.2\n"
-                        + "WarmupOverage = 1.0\n"
-                        + "WarmupSlack = 0\n");
+        return "NodeName = \""
+                + role
+                + i
+                + "\"\nIpAddress = \""
+                + ip
+                + "\"\nZone = \""
+                + zone
+                + "\"\nRegion = \""
+                + zone.split("-")[0]
+                + "\"\n"
+                + "InternalPortRange = ["
+                + port
+                + ","
+                + (port + 10)
+                + "]\nSeedNodes = ["
+                + seeds.stream().map(s -> '"' + s + '"').collect(Collectors.joining(","))
+                + "]\n"
+                + "Bootstrap = "
+                + bootstrap
+                + "\nQuorumMember = "
+                + role.equals("core")
+                + "\nDataDirectory = \""
+                + dir.resolve(role + i)
+                + "\"\nHeartbeatIntervalMs = 300\n"
+                + "Serves = [\""
+                + role
+                + "\"]\n[Zones]\n"
+                + ZONES.stream()
+                        .map(h -> h + " = \"" + h.split("-")[0] + "\"\n")
+                        .collect(Collectors.joining())
+                + "[ListenAddresses]\n"
+                + l
+                + "[Limits]\n"
+                + "MaxFileDescriptors = 2000\n"
+                + "[Bounds]\n"
+                + "GracePeriodS = 5\n"
+                + "RetrySlack = 50\n"
+                + "RetryBudgetRatio = 0.2\n"
+                + "WarmupOverage = 1.0\n"
+                + "WarmupSlack = 0\n";
     }
 
     public void startCore(int i, boolean bootstrap) {
         var p = settings(core(i), i, "core", bootstrap);
+        run(
+                core(i),
+                loop -> {
+                    var c = new CoreDaemon(p, loop, folder(i, p.dataDir));
+                    c.start();
+                    cores.put(core(i), c);
+                });
+    }
+
+    /** As SIGTERM does: the daemon leaves in order, then its process ends. */
+    public void leaveCore(int i) {
+        cores.get(core(i)).leave();
+        kill(core(i));
+    }
+
+    /**
+     * Asks until the core daemons that are up tell of a chain and a roster of just these, and says
+     * after how long.
+     */
+    public long awaitChain(int... which) {
+        var since = System.nanoTime();
+        var all = Arrays.stream(which).mapToObj(this::core).sorted().toList();
+        for (var i : which) {
+            var pattern =
+                    java.util.regex.Pattern.compile("chain \\[([^]]*)\\].*\\nroster \\[([^]]*)\\]");
+            var shown = "";
+            while (System.nanoTime() - since < 25_000_000_000L) {
+                shown = ask(core(i), "chain");
+                var m = pattern.matcher(shown);
+                if (m.find() && sorted(m.group(1)).equals(all) && sorted(m.group(2)).equals(all)) {
+                    shown = "";
+                    break;
+                }
+            }
+            if (!shown.isEmpty()) {
+                throw new AssertionError("not a chain of " + all + ": " + shown);
+            }
+        }
+        return (System.nanoTime() - since) / 1_000_000;
+    }
+
+    private static List<String> sorted(String list) {
+        return Arrays.stream(list.split(", ")).sorted().toList();
+    }
+
+    /**
+     * Starts a core daemon that is cut off from every other daemon, both ways, because its internal
+     * port is not theirs; replicas and the operator still reach it.
+     */
+    public void startCoreCutOff(int i) {
+        var p = settings(core(i), i, "core", false, CUT_OFF_PORT);
         run(core(i), loop -> new CoreDaemon(p, loop, folder(i, p.dataDir)).start());
     }
 
+    /** The text of an edge's settings file. */
+    public String settingsText(int edge) {
+        return settingsText(edge(edge), edge, "edge", false, PORT);
+    }
+
+    /** The settings that a started edge uses. */
+    public Settings settings(int edge) {
+        return edgeSettings.get(edge);
+    }
+
     public EdgeDaemon startEdge(int i) {
         var p = settings(edge(i), i, "edge", false);
+        edgeSettings.put(i, p);
         var up = new CompletableFuture<EdgeDaemon>();
         run(
                 edge(i),
@@ -413,15 +487,30 @@
                 body);
     }
 
+    /**
+     * What the platform's own question about readiness gets from an edge; 0 where nobody answers.
+     */
+    public int readiness(int edge) {
+        return TestHttpClient.call(
+                        edge(edge) + ":" + READY,
+                        "GET /readyz HTTP/1.1\r\nHost: c\r\nConnection: close\r\n",
+                        "")
+                .status;
+    }
+
     public String ask(String ip, String query) {
         return Shell.ask(new InetSocketAddress(ip, PORT), query);
     }
 
     /** Asks until the answer shows what is looked for; gives up after many asks. */
     public String askUntil(String ip, String query, String sought) {
+        return askUntil(ip, query, a -> a.contains(sought));
+    }
+
+    public String askUntil(String ip, String query, Predicate<String> sought) {
         var end = System.nanoTime() + 25_000_000_000L;
         var a = ask(ip, query);
-        while (!a.contains(sought) && System.nanoTime() < end) {
+        while (!sought.test(a) && System.nanoTime() < end) {
             a = ask(ip, query);
         }
         return a;
@@ -454,13 +543,27 @@
             int tries,
             boolean resumable,
             String regions) {
+        return route(name, prefix, kind, service, tries, resumable, regions, 8000);
+    }
+
+    public static String route(
+            String name,
+            String prefix,
+            String kind,
+            String service,
+            int tries,
+            boolean resumable,
+            String regions,
+            int timeoutMs) {
         return "{\"Name\":\""
                 + name
                 + "\",\"Hostname\":\"cluster.example\",\"PathPrefix\":\""
                 + prefix
                 + "\",\"RouteType\":\""
                 + kind
-                + "\",\"TimeoutMs\":8000,\"TargetLatencyMs\":2000,"
+                + "\",\"TimeoutMs\":"
+                + timeoutMs
+                + ",\"TargetLatencyMs\":2000,"
                 + "\"Priority\":0,\"Backend\":\""
                 + service
                 + "\",\"MaxAttempts\":"
--- a/simulation/src/main/java/martenloom/simulation/Process.java
+++ b/simulation/src/main/java/martenloom/simulation/Process.java
@@ -46,6 +46,7 @@
         this.machine = machine;
         this.environment = environment;
         startedUs = nowUs();
+        handOver = new OrderForwarder(this, environment.disks().any());
         disk = new VersionedStore(machine.disk());
         var seeds = environment.seeds();
         var kept = disk.load().map(ChainCore.MemberState::of);
