--- a/core/src/main/java/martenloom/core/CoreDaemon.java
+++ b/core/src/main/java/martenloom/core/CoreDaemon.java
@@ -161,7 +161,7 @@
         chain.onLeastRoster(2 * Math.max(1, p.tolerateMachines) + 1);
         placement = new PlacementService(p, chain, registry, this::table);
         chain.onSurvey(() -> placement.now().text());
-        duties = new DutyService(chain, this::askHere);
+        duties = new DutyService(chain, this::askHere, Clocks::nowUs);
         var known = store.note(MEMO).map(this::remember).orElse(0);
         warm = new ColdSendLeases(Clocks.nowUs(), kept.isEmpty() && p.bootstrap);
         restored = known > 0;
@@ -734,7 +734,7 @@
                 l.send(registry.rows(registry.replicas(), true, Clocks.nowUs()));
             }
             case FleetRecords.EDGE_ASK -> edgeAsk(l, in);
-            case FleetRecords.DUTY_WANT -> duties.want(in.text(), in.text(), in.i64(), l);
+            case FleetRecords.DUTY_WANT -> duties.want(in.text(), in.text(), in.i64(), l::send);
             case FleetRecords.DUTY_GRANT -> passGrant(l, record, in);
             case FleetRecords.QUERY ->
                     l.send(new Codec.Out(FleetRecords.TEXT).text(query(in.text())).bytes());
@@ -943,7 +943,7 @@
     private void want(String key, String holder, long stamp) {
         if (chain.heading()) {
             Optional.ofNullable(homes.get(ipOf(holder)))
-                    .ifPresent(l -> duties.want(key, holder, stamp, l));
+                    .ifPresent(l -> duties.want(key, holder, stamp, l::send));
             return;
         }
         Optional.ofNullable(dials.get(chain.head()))
--- a/core/src/main/java/martenloom/core/duty/DutyService.java
+++ b/core/src/main/java/martenloom/core/duty/DutyService.java
@@ -7,10 +7,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import martenloom.common.clock.Clocks;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import martenloom.common.codec.Codec;
 import martenloom.common.fleet.FleetRecords;
-import martenloom.common.link.PeerLinks;
 import martenloom.core.api.ControlApi;
 import martenloom.core.chain.ChainCore;
 import martenloom.core.state.CoreState;
@@ -24,20 +24,23 @@
     public static final long LEASE_US = 2_500_000;
     private static final long WAIT_US = 3_200_000;
 
-    private record Want(String key, String holder, long stamp, PeerLinks.Link link, long atUs) {}
+    private record Want(String key, String holder, long stamp, Consumer<byte[]> reply, long atUs) {}
 
     private final ChainCore chain;
     private final ControlApi.OrderForwarder ask;
+    private final LongSupplier clockUs;
     private final Map<String, Want> wants = new TreeMap<>();
     private final Map<String, Long> renewed = new HashMap<>();
     private final Set<String> writing = new HashSet<>();
 
-    public DutyService(ChainCore c, ControlApi.OrderForwarder ask) {
+    public DutyService(ChainCore c, ControlApi.OrderForwarder ask, LongSupplier clockUs) {
         chain = c;
         this.ask = ask;
+        this.clockUs = clockUs;
     }
 
-    public void want(String key, String holder, long stamp, PeerLinks.Link l) {
+    /** A candidate wants a duty; the record that grants it is given to the reply. */
+    public void want(String key, String holder, long stamp, Consumer<byte[]> reply) {
         var d = Optional.ofNullable(chain.committed().duties.get(key));
         var held = wants.get(key);
         if (held != null
@@ -46,7 +49,7 @@
                 && !holder.equals(held.holder)) {
             return;
         }
-        wants.put(key, new Want(key, holder, stamp, l, Clocks.nowUs()));
+        wants.put(key, new Want(key, holder, stamp, reply, clockUs.getAsLong()));
     }
 
     public void tick(long now) {
@@ -56,6 +59,10 @@
             return;
         }
         for (var w : List.copyOf(wants.values())) {
+            if (writing.contains(w.key)) {
+                // Its outcome decides who is renewed: until then the committed holder may be out.
+                continue;
+            }
             var d = Optional.ofNullable(chain.committed().duties.get(w.key));
             if (d.isPresent() && d.get().holder.equals(w.holder)) {
                 if (chain.provenUs() > w.atUs) {
@@ -85,7 +92,7 @@
                     (s, t) -> {
                         writing.remove(w.key);
                         if (s == 200) {
-                            renewed.put(w.key, Clocks.nowUs());
+                            renewed.put(w.key, clockUs.getAsLong());
                             grant(w, Long.parseLong(t));
                         }
                     });
@@ -93,7 +100,7 @@
     }
 
     private static void grant(Want w, long g) {
-        w.link.send(
+        w.reply.accept(
                 new Codec.Out(FleetRecords.DUTY_GRANT)
                         .text(w.holder)
                         .text(w.key)
--- a/simulation/src/main/java/martenloom/simulation/OrderForwarder.java
+++ b/simulation/src/main/java/martenloom/simulation/OrderForwarder.java
@@ -76,11 +76,4 @@
     void onAnswer(SimulatedNetwork.Connection by, Codec.In in) {
         remote.answered(PendingRequests.RequestId.read(in), by, in.i32(), in.text());
     }
-
-    private static void answer(
-            SimulatedNetwork.Connection by, PendingRequests.RequestId id, int status, String text) {
-        var record = new Codec.Out(FleetRecords.ANSWER);
-        id.write(record);
-        by.answer(record.i32(status).text(text).bytes());
-    }
 }
--- a/simulation/src/main/java/martenloom/simulation/Process.java
+++ b/simulation/src/main/java/martenloom/simulation/Process.java
@@ -21,6 +21,10 @@
 final class Process {
     private static final long TICK_US = 50_000;
     private static final long HELLO_US = 500_000;
+
+    /** As the core daemon has it with a grace period of 8 s. */
+    private static final long LEAVE_URGENT_US = 3_600_000;
+
     private static final long LEAVE_AGAIN_US = 200_000;
     private static final long DISK_RETRY_US = 100_000;
     private static final long API_PATIENCE_US = 850_000;
@@ -40,13 +44,13 @@
     private boolean running = true;
     private boolean leaving;
     private boolean leaveTaken;
+    private long leaveSinceUs;
     private long frozenUntilUs;
 
     Process(Machine machine, Environment environment, boolean bootstrap) {
         this.machine = machine;
         this.environment = environment;
         startedUs = nowUs();
-        handOver = new OrderForwarder(this, environment.disks().any());
         disk = new VersionedStore(machine.disk());
         var seeds = environment.seeds();
         var kept = disk.load().map(ChainCore.MemberState::of);
@@ -187,6 +191,7 @@
     void leave(Runnable end) {
         if (!leaving) {
             leaving = true;
+            leaveSinceUs = nowUs();
             chain.onLeave(nowUs());
             leaveStep(end);
         }
@@ -197,7 +202,9 @@
             end.run();
             return;
         }
-        var order = new CoreState.Change(CoreState.Act.LEAVE, 0, address(), "");
+        var urgent = nowUs() - leaveSinceUs >= LEAVE_URGENT_US;
+        var urgency = urgent ? CoreState.LEAVE_NOW : CoreState.LEAVE_SOON;
+        var order = new CoreState.Change(CoreState.Act.LEAVE, urgency, address(), "");
         orders.forward(order, (status, text) -> leaveTaken |= status == 200);
         after(LEAVE_AGAIN_US, () -> leaveStep(end));
     }
