--- a/core/src/main/java/martenloom/core/CoreDaemon.java
+++ b/core/src/main/java/martenloom/core/CoreDaemon.java
@@ -1,8 +1,6 @@
 package martenloom.core;
 
 import io.activej.eventloop.Eventloop;
-import io.activej.http.HttpHeaders;
-import io.activej.http.HttpResponse;
 import io.activej.http.HttpServer;
 import io.activej.promise.Promise;
 import java.io.IOException;
@@ -22,8 +20,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -73,23 +69,9 @@
     private static final int FAR_TURNS = 5;
     private static final int QUIET_TURNS = 5;
     private static final long WANT_US = 350_000;
-    private static final long LEAVE_AGAIN_US = 200_000;
 
-    /** For this share of the grace period a needed member waits for another to come back. */
-    private static final double LEAVE_WAITS_SHARE = 0.45;
-
-    /** So much of the grace period is left for the end of the process itself. */
-    private static final long END_US = 900_000;
-
-    private static final long ANSWERS_US = 900_000;
     private static final long FLUSH_MS = 300;
 
-    /**
-     * What edges are told about the age of our knowledge while we leave, so that they choose
-     * another home.
-     */
-    private static final long FAR_TOO_OLD_US = 3_600_000_000L;
-
     /** A core daemon outside the roster that was not reached for so long is forgotten. */
     private static final long FORGET_US = 20_000_000;
 
@@ -111,6 +93,7 @@
     private final Eventloop loop;
     private final VersionedStore store;
     private final ChainCore chain;
+    private final OrderlyLeave leave;
     private final Registry registry;
     private final DutyService duties;
     private final PlacementService placement;
@@ -161,6 +144,7 @@
         chain.onLeastRoster(2 * Math.max(1, p.tolerateMachines) + 1);
         placement = new PlacementService(p, chain, registry, this::table);
         chain.onSurvey(() -> placement.now().text());
+        leave = new OrderlyLeave(loop, p, chain, this::handOver, this::owesAnswers);
         duties = new DutyService(chain, this::askHere, Clocks::nowUs);
         var known = store.note(MEMO).map(this::remember).orElse(0);
         warm = new ColdSendLeases(Clocks.nowUs(), kept.isEmpty() && p.bootstrap);
@@ -223,7 +207,12 @@
         if (settings.listen.containsKey("Directory")) {
             at.add(Settings.address("Directory", settings.need("Directory")));
         }
-        HttpServer.builder(loop, q -> leaving ? Promise.of(goElsewhere()) : controlApi.serve(q))
+        HttpServer.builder(
+                        loop,
+                        q ->
+                                leave.begun()
+                                        ? Promise.of(OrderlyLeave.goElsewhere())
+                                        : controlApi.serve(q))
                 .withListenAddresses(List.copyOf(at))
                 .withKeepAliveTimeout(Duration.ofSeconds(30))
                 .withMaxBodySize(16 << 20)
@@ -257,72 +246,14 @@
 
     // ---- leaving in order
 
-    private boolean leaving;
-    private boolean leaveTaken;
-    private long releasedUs;
-
-    /**
-     * Called from another thread at SIGTERM. Sends callers and edges elsewhere, has this member
-     * leave the chain, and returns when the chain without it has accepted all that was
-     * acknowledged, or when the grace is nearly over.
-     */
+    /** Called from another thread at SIGTERM; returns when the process may end. */
     public void leave() {
-        var done = new CountDownLatch(1);
-        var graceUs = (long) (settings.bounds.graceS * 1_000_000);
-        var endUs = Clocks.nowUs() + graceUs - END_US;
-        var urgentUs = Clocks.nowUs() + (long) (graceUs * LEAVE_WAITS_SHARE);
-        loop.execute(
-                () -> {
-                    RingLog.note("leaving");
-                    leaving = true;
-                    chain.onLeave(Clocks.nowUs());
-                    leaveStep(urgentUs, endUs, done);
-                });
-        try {
-            done.await(graceUs / 1000 - END_US / 2000, TimeUnit.MILLISECONDS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+        leave.run();
         store.flush(FLUSH_MS);
     }
 
-    private void leaveStep(long urgentUs, long endUs, CountDownLatch done) {
-        var now = Clocks.nowUs();
-        if (mayEnd(now) || now >= endUs) {
-            RingLog.note("left " + (now < endUs ? "in order" : "at the end of the grace period"));
-            done.countDown();
-            return;
-        }
-        if (releasedUs == 0) {
-            var urgency = now < urgentUs ? CoreState.LEAVE_SOON : CoreState.LEAVE_NOW;
-            handOver(
-                    new CoreState.Change(CoreState.Act.LEAVE, urgency, settings.ip, ""),
-                    (status, text) -> leaveTaken |= status == 200);
-        }
-        Clocks.after(loop, LEAVE_AGAIN_US, () -> leaveStep(urgentUs, endUs, done));
-    }
-
-    /**
-     * Not before the chain can do without us, and then when the answers that callers wait for have
-     * come, or soon after.
-     */
-    private boolean mayEnd(long now) {
-        if ((leaveTaken || chain.mode() == ChainCore.Mode.LEARNING) && chain.released(now)) {
-            releasedUs = releasedUs == 0 ? now : releasedUs;
-        }
-        return releasedUs > 0 && (noAnswerAwaited() || now - releasedUs > ANSWERS_US);
-    }
-
-    private boolean noAnswerAwaited() {
-        return localRequests.isEmpty() && peerRequests.size() == 0;
-    }
-
-    private static HttpResponse goElsewhere() {
-        return HttpResponse.ofCode(503)
-                .withHeader(HttpHeaders.CONNECTION, "close")
-                .withHeader(HttpHeaders.RETRY_AFTER, "1")
-                .withPlainText("this daemon is leaving")
-                .build();
+    private boolean owesAnswers() {
+        return !localRequests.isEmpty() || peerRequests.size() > 0;
     }
 
     // ---- links to other core daemons
@@ -793,7 +724,7 @@
                 new Codec.Out(FleetRecords.NEWS)
                         .i64(stamp)
                         .i64(now - startUs + (restored ? 10_000_000 : 0))
-                        .i64(leaving ? FAR_TOO_OLD_US : chain.staleUs(now))
+                        .i64(leave.begun() ? OrderlyLeave.FAR_TOO_OLD_US : chain.staleUs(now))
                         .i64(s.edition)
                         .i32(registry.edgeDigest())
                         .i32(mostEdges)
--- a/core/src/main/java/martenloom/core/chain/ChainCore.java
+++ b/core/src/main/java/martenloom/core/chain/ChainCore.java
@@ -37,7 +37,7 @@
 
     /**
      * A member that has had no proof of a majority for longer than this neither hands out what it
-     * knows as current nor passes orders on. See docs/control-safety.md for the derivation.
+     * knows as current nor passes orders on. See docs/design.md for the derivation.
      */
     public static final long STALE_US = 1_500_000;
 
@@ -294,8 +294,6 @@
         queue.clear();
     }
 
-    // ---- the disk
-
     public void onStored(long t, long token) {
         member.advance(t);
         var before = member.state().edition;
--- a/core/src/test/java/martenloom/core/chain/ChainMessageTest.java
+++ b/core/src/test/java/martenloom/core/chain/ChainMessageTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Comparator;
@@ -75,4 +76,54 @@
         member.onRecord(10, "b", pass.encode().bytes());
         return member.drain().stream().filter(c -> c instanceof ChainCore.Store).count();
     }
+
+    /** The view that the promise was for may need the leaver: it must not end on older news. */
+    @Test
+    void aPromiseTakesBackTheReleaseOfALeaver() {
+        var kept = new MemberState(FIRST, FIRST, CoreState.founded(List.of("a", "b", "c")));
+        var member = new ChainCore("c", 1, Optional.of(kept), Comparator.naturalOrder(), 0);
+        member.onLeave(10);
+        member.onRecord(20, "b", bytes(new ChainMessage.News(SECOND, List.of("b", "a"), 0, 0)));
+        assertTrue(member.released(30));
+        member.drain();
+        var next = new Ballot(5, "a");
+        member.onRecord(40, "a", bytes(new ChainMessage.Prepare(next, FIRST, 0, Ballot.ZERO)));
+        carryOutStores(member, 50);
+        assertFalse(member.released(60));
+        member.onRecord(70, "a", bytes(new ChainMessage.News(next, List.of("a", "b"), 0, 0)));
+        assertTrue(member.released(80), "the new view does without it");
+    }
+
+    /** Its promise was forgotten with its disk: it is a learner, and no part of the majority. */
+    @Test
+    void whoPromisedAndWasWipedDoesNotCountInTheBid() {
+        var kept = new MemberState(FIRST, FIRST, CoreState.founded(List.of("a", "b", "c")));
+        var bidder = new ChainCore("a", 1, Optional.of(kept), Comparator.naturalOrder(), 0);
+        bidder.onTick(2_000_000);
+        assertEquals(ChainCore.Mode.BIDDING, bidder.mode());
+        carryOutStores(bidder, 2_001_000);
+        var ballot = bidder.memberState().promised;
+        var promise = new ChainMessage.Promised(ballot, false, FIRST, 0, new byte[0]);
+        var learner = new ChainMessage.Learner(ballot, 77);
+        bidder.onRecord(2_002_000, "b", bytes(promise));
+        bidder.onRecord(2_003_000, "b", bytes(learner));
+        bidder.onRecord(2_004_000, "b", bytes(promise));
+        bidder.onTick(2_500_000);
+        assertEquals(ChainCore.Mode.BIDDING, bidder.mode(), "one promise of three is no majority");
+        bidder.onRecord(2_600_000, "c", bytes(promise));
+        assertEquals(ChainCore.Mode.STARTING, bidder.mode());
+        assertEquals(List.of("a", "c", "b"), bidder.chain());
+    }
+
+    private static byte[] bytes(ChainMessage message) {
+        return message.encode().bytes();
+    }
+
+    private static void carryOutStores(ChainCore member, long t) {
+        for (var command : member.drain()) {
+            if (command instanceof ChainCore.Store store) {
+                member.onStored(t, store.token());
+            }
+        }
+    }
 }
--- a/core/src/test/java/martenloom/core/chain/ProofTest.java
+++ b/core/src/test/java/martenloom/core/chain/ProofTest.java
@@ -133,4 +133,20 @@
                         .anyMatch(e -> !e.getKey().equals(h) && e.getValue().heading()),
                 "another heads the rest");
     }
+
+    /**
+     * An update is judged on top of a state that may be old here: to refuse it takes proof as well.
+     */
+    @Test
+    void aHeadThatWasCutOffDoesNotRefuseWhatIsInvalid() {
+        var h = head();
+        cut.add(h);
+        ask(h, 1, CoreState.Act.REPLACE, "{\"Revision\":0,\"Routes\":[],\"Backends\":[]}");
+        ask(h, 2, CoreState.Act.UPDATE, "not to be read");
+        for (var i = 0; i < 2000; i++) {
+            step();
+        }
+        assertEquals(503, answers.get(1L));
+        assertEquals(503, answers.get(2L));
+    }
 }
--- a/launcher/src/test/java/martenloom/launcher/CoreLeaveTest.java
+++ b/launcher/src/test/java/martenloom/launcher/CoreLeaveTest.java
@@ -199,4 +199,26 @@
             }
         }
     }
+
+    /** An edge that starts beside a core daemon that was cut off gets no configuration from it. */
+    @Test
+    void whoIsCutOffHandsOutNoConfiguration() {
+        try (var t = new TestCluster(dir, 147, 3)) {
+            assertEquals(
+                    200,
+                    t.order("POST /configuration/replace", "0", TestCluster.configuration(1, "")));
+            t.awaitChain(0, 1, 2);
+            t.freeze(t.core(1));
+            t.freeze(t.core(2));
+            t.askUntil(t.core(0), "chain", "mode BIDDING");
+            t.startEdge(0);
+            assertTrue(t.askUntil(t.core(0), "homes", t.edge(0)).contains(t.edge(0)));
+            var shown = t.ask(t.edge(0), "home");
+            assertTrue(shown.contains("edition -1 revision 0"), shown);
+            t.thaw(t.core(1));
+            t.thaw(t.core(2));
+            shown = t.askUntil(t.edge(0), "home", "revision 1");
+            assertTrue(shown.contains("revision 1"), "and has it once the core is whole: " + shown);
+        }
+    }
 }
