--- a/simulation/src/main/java/martenloom/simulation/LeaseCandidate.java
+++ b/simulation/src/main/java/martenloom/simulation/LeaseCandidate.java
@@ -5,6 +5,8 @@
 /** One of several edges that want the same lease, each from its own home among the members. */
 final class LeaseCandidate {
     private static final long WISH_US = 400_000;
+    private static final int WISHES_IN_A_ROW = 15;
+    private static final long LONGEST_SILENCE_US = 5_000_000;
     private static final long HOME_PATIENCE_US = 1_500_000;
     private static final long LONGEST_WAY_US = 20_000;
 
@@ -44,7 +46,14 @@
         var stampUs = agenda.nowUs();
         var address = home;
         agenda.after(wayUs(), () -> arrive(address, stampUs));
-        agenda.after(WISH_US, this::wish);
+        agenda.after(pauseUs(), this::wish);
+    }
+
+    /** A candidate is silent at times, until its lease has run out. */
+    private long pauseUs() {
+        return random.oneIn(WISHES_IN_A_ROW)
+                ? random.between(WISH_US, LONGEST_SILENCE_US)
+                : WISH_US;
     }
 
     private void arrive(String address, long stampUs) {
--- a/simulation/src/main/java/martenloom/simulation/Process.java
+++ b/simulation/src/main/java/martenloom/simulation/Process.java
@@ -20,6 +20,7 @@
  */
 final class Process {
     private static final long TICK_US = 50_000;
+    private static final long LATE_TIMER_US = 5_000;
     private static final long HELLO_US = 500_000;
 
     /** As the core daemon has it with a grace period of 8 s. */
@@ -123,8 +124,18 @@
         carryOut();
     }
 
+    /** Runs an action at a time; a process that wakes up gets to its timers sooner or later. */
     void after(long us, Runnable action) {
-        environment.agenda().after(us, () -> whenAwake(action));
+        environment.agenda().after(us, () -> onTimer(action));
+    }
+
+    private void onTimer(Runnable action) {
+        if (running && frozen()) {
+            var lateUs = environment.disks().between(0, LATE_TIMER_US);
+            environment.agenda().at(frozenUntilUs + lateUs, () -> onTimer(action));
+        } else {
+            whenAwake(action);
+        }
     }
 
     private void tick() {
