--- a/simulation/src/main/java/martenloom/simulation/Callers.java
+++ b/simulation/src/main/java/martenloom/simulation/Callers.java
@@ -81,6 +81,7 @@
             process.ifPresent(
                     p ->
                             p.whenAwake(
+                                    this,
                                     () ->
                                             p.onOrder(
                                                     change,
--- a/simulation/src/main/java/martenloom/simulation/LeaseCandidate.java
+++ b/simulation/src/main/java/martenloom/simulation/LeaseCandidate.java
@@ -58,7 +58,8 @@
 
     private void arrive(String address, long stampUs) {
         Optional<Process> process = machines.running(address);
-        process.ifPresent(p -> p.whenAwake(() -> p.onWish(key, holder, stampUs, this::answered)));
+        process.ifPresent(
+                p -> p.whenAwake(this, () -> p.onWish(key, holder, stampUs, this::answered)));
     }
 
     private void answered(long grant, long stampUs) {
--- a/simulation/src/main/java/martenloom/simulation/Process.java
+++ b/simulation/src/main/java/martenloom/simulation/Process.java
@@ -3,6 +3,8 @@
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.Deque;
+import java.util.IdentityHashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
@@ -20,7 +22,7 @@
  */
 final class Process {
     private static final long TICK_US = 50_000;
-    private static final long LATE_TIMER_US = 5_000;
+    private static final long LATE_US = 5_000;
     private static final long HELLO_US = 500_000;
 
     /** As the core daemon has it with a grace period of 8 s. */
@@ -41,6 +43,7 @@
     private final DutyService duties;
     private final Set<String> dials = new TreeSet<>();
     private final Deque<ChainCore.Store> stores = new ArrayDeque<>();
+    private final Map<Object, Long> readyAtUs = new IdentityHashMap<>();
     private final long startedUs;
     private boolean running = true;
     private boolean leaving;
@@ -111,31 +114,34 @@
 
     // ---- what reaches the process
 
-    /** Runs an action in this life, once the process is awake. */
-    void whenAwake(Runnable action) {
+    /**
+     * Runs an action in this life, once the process is awake. What comes from one source, such as a
+     * connection, keeps its order; after a pause the process gets to its sources in any order.
+     */
+    void whenAwake(Object source, Runnable action) {
         if (!running) {
             return;
         }
-        if (frozen()) {
-            environment.agenda().at(frozenUntilUs, () -> whenAwake(action));
+        var readyUs = readyUs(source);
+        if (readyUs > nowUs()) {
+            environment.agenda().at(readyUs, () -> whenAwake(source, action));
             return;
         }
         action.run();
         carryOut();
     }
 
-    /** Runs an action at a time; a process that wakes up gets to its timers sooner or later. */
-    void after(long us, Runnable action) {
-        environment.agenda().after(us, () -> onTimer(action));
+    private long readyUs(Object source) {
+        var readyUs = readyAtUs.getOrDefault(source, 0L);
+        if (frozen() && readyUs < frozenUntilUs) {
+            readyUs = frozenUntilUs + environment.disks().between(0, LATE_US);
+            readyAtUs.put(source, readyUs);
+        }
+        return readyUs;
     }
 
-    private void onTimer(Runnable action) {
-        if (running && frozen()) {
-            var lateUs = environment.disks().between(0, LATE_TIMER_US);
-            environment.agenda().at(frozenUntilUs + lateUs, () -> onTimer(action));
-        } else {
-            whenAwake(action);
-        }
+    void after(long us, Runnable action) {
+        environment.agenda().after(us, () -> whenAwake(new Object(), action));
     }
 
     private void tick() {
@@ -320,7 +326,7 @@
         if (!stores.isEmpty()) {
             beginStore();
         }
-        whenAwake(() -> chain.onStored(nowUs(), store.token()));
+        whenAwake(disk, () -> chain.onStored(nowUs(), store.token()));
     }
 
     /** Ends this life; a write under way ends between any two of its steps. */
--- a/simulation/src/main/java/martenloom/simulation/SimulatedNetwork.java
+++ b/simulation/src/main/java/martenloom/simulation/SimulatedNetwork.java
@@ -197,7 +197,7 @@
         redialUs.put(connection.forward.pair(), agenda.nowUs() + REDIAL_US);
         loseTail(connection.forward);
         connection.back.held.clear();
-        connection.dialer.whenAwake(() -> connection.dialer.onClosed(connection));
+        connection.dialer.whenAwake(connection, () -> connection.dialer.onClosed(connection));
     }
 
     /** A closed connection may still deliver a part of what waits on it. */
--- a/simulation/src/main/java/martenloom/simulation/Troubles.java
+++ b/simulation/src/main/java/martenloom/simulation/Troubles.java
@@ -257,7 +257,7 @@
                             then.run();
                         });
         world.agenda().after(GRACE_US, end);
-        process.ifPresentOrElse(p -> p.whenAwake(() -> p.leave(end)), end);
+        process.ifPresentOrElse(p -> p.whenAwake(end, () -> p.leave(end)), end);
     }
 
     private static Runnable once(Runnable action) {
--- a/simulation/src/main/java/martenloom/simulation/World.java
+++ b/simulation/src/main/java/martenloom/simulation/World.java
@@ -353,11 +353,11 @@
 
     @Override
     public void connected(Process dialer, String listener) {
-        dialer.whenAwake(() -> dialer.onConnected(listener));
+        dialer.whenAwake(listener, () -> dialer.onConnected(listener));
     }
 
     @Override
     public void deliver(Process to, SimulatedNetwork.Connection by, byte[] record) {
-        to.whenAwake(() -> to.onRecord(by, record));
+        to.whenAwake(by, () -> to.onRecord(by, record));
     }
 }
