--- a/simulation/src/main/java/martenloom/simulation/Troubles.java
+++ b/simulation/src/main/java/martenloom/simulation/Troubles.java
@@ -14,6 +14,7 @@
     private static final long SETTLED_US = 1_000_000;
     private static final long BETWEEN_REPLACEMENTS_US = 6_000_000;
     private static final long GRACE_US = 8_000_000;
+    private static final int HEAD_EVERY = 3;
     private static final int APART_STEPS = 5;
     private static final long APART_US = 1_000_000;
     private static final int STORM_LEAST = 20;
@@ -45,7 +46,7 @@
 
     /** Tells whether it was brought about: what goes beyond the losses to be borne is left out. */
     boolean bringAbout(Trouble trouble) {
-        var address = world.slots().get(trouble.slot());
+        var address = target(trouble);
         var lastsUs = trouble.lastsMs() * 1000;
         return switch (trouble.kind()) {
             case KILL -> kill(address, lastsUs, Loss.NOTHING);
@@ -96,6 +97,12 @@
         };
     }
 
+    /** The machine that is hit: every third time the present head, if there is one. */
+    private String target(Trouble trouble) {
+        var slot = world.slots().get(trouble.slot());
+        return trouble.choice() % HEAD_EVERY == 0 ? world.head().orElse(slot) : slot;
+    }
+
     // ---- processes and disks
 
     private enum Loss {
--- a/simulation/src/main/java/martenloom/simulation/World.java
+++ b/simulation/src/main/java/martenloom/simulation/World.java
@@ -90,6 +90,10 @@
                             configurations));
         }
         operators.forEach(ConfigurationOperator::start);
+        for (var name : List.of("c", "d")) {
+            var random = Randomness.of(schedule.seed(), "reader " + name);
+            new ConfigurationReader(callers, agenda, random, configurations).start();
+        }
         for (var zone : List.of("north-1", "south-1")) {
             new EvacuationOperator(
                             zone,
@@ -275,6 +279,15 @@
         return slots;
     }
 
+    /** The machine of the present head, if it is one of those that count. */
+    Optional<String> head() {
+        return slots.stream().filter(this::heads).findFirst();
+    }
+
+    private boolean heads(String address) {
+        return running(address).filter(p -> p.chain().heading()).isPresent();
+    }
+
     Machine machine(String address) {
         return machines.get(address);
     }
