--- a/edge/src/main/java/martenloom/edge/EdgeDaemon.java
+++ b/edge/src/main/java/martenloom/edge/EdgeDaemon.java
@@ -38,7 +38,6 @@
 import martenloom.common.settings.Settings;
 import martenloom.edge.dispatch.ClientConnection;
 import martenloom.edge.dispatch.RequestDispatcher;
-import martenloom.edge.duty.HeldDuties;
 import martenloom.edge.jobs.JobRunner;
 import martenloom.edge.overload.Overload;
 import martenloom.edge.replica.ReplicaTable;
@@ -102,7 +101,7 @@
     private final ScaleRunner scaler;
     private int edgesNow;
     private final OverloadReporting reporting;
-    private final HeldDuties duties = new HeldDuties();
+    private final EdgeDuties duties;
     private Optional<SimpleServer> frontend = Optional.empty();
     private Optional<PeerLinks.Dial> home = Optional.empty();
     private String homeIp = "";
@@ -137,6 +136,7 @@
         this.loop = loop;
         replicaTable = new ReplicaTable(p);
         dispatcher = new RequestDispatcher(loop, p, replicaTable);
+        duties = new EdgeDuties(p, dispatcher, life);
         reporting = new OverloadReporting(p, dispatcher, this::tell);
         load = new LoadView(replicaTable, dispatcher, p.ip, life);
         scaler =
@@ -162,7 +162,7 @@
                 new JobRunner(
                         dispatcher,
                         this::askCore,
-                        () -> holds(jobDuty()),
+                        () -> duties.holdsJobs(Clocks.nowUs()),
                         (us, r) -> Clocks.after(loop, us, r),
                         p.ip);
         p.seeds.forEach(s -> cores.add(s.substring(0, s.lastIndexOf(':'))));
@@ -359,42 +359,22 @@
         var o = new Codec.Out(FleetRecords.RENEW);
         e.write(o, now);
         return o.i64(now)
-                .text(holder())
-                .texts(wants())
+                .text(duties.holder())
+                .texts(wantedDuties())
                 .texts(replicaTable.coldIn(settings.region, dispatcher.table(), now))
                 .bytes();
     }
 
-    /**
-     * Who holds a duty is one life of an edge, so that a restarted one is a successor like any
-     * other.
-     */
-    private String holder() {
-        return settings.ip + "#" + Long.toHexString(life);
-    }
-
-    private String jobDuty() {
-        return "jobs/" + settings.region;
-    }
-
-    private String scaleDuty() {
-        return "scale/" + settings.region;
-    }
-
     private void scale() {
         var now = Clocks.nowUs();
         var fresh = now - load.wholeUs() < SILENCE_US;
         scaler.tick(
-                duties.grantInForce(scaleDuty(), now).orElse(0L),
+                duties.scaleGrant(now).orElse(0L),
                 load.whole(),
                 fresh && load.whole().edges() * 3 >= edgesNow * 2,
                 now);
     }
 
-    private boolean holds(String key) {
-        return duties.holds(key, Clocks.nowUs());
-    }
-
     // ---- words to the core about jobs
 
     /**
@@ -435,25 +415,8 @@
                                         x.text(), x.text())));
     }
 
-    private Collection<String> wants() {
-        var w = new TreeSet<String>();
-        if (ready && !leaving) {
-            dispatcher.table().services.values().stream()
-                    .filter(
-                            s ->
-                                    s.engine
-                                            && replicaTable.of(s.name).stream()
-                                                    .anyMatch(
-                                                            x -> x.region.equals(settings.region)))
-                    .forEach(s -> w.add(settings.region + "/" + s.model));
-            if (!w.isEmpty()) {
-                w.add(scaleDuty());
-            }
-            if (jobsLive || jobs.busy()) {
-                w.add(jobDuty());
-            }
-        }
-        return w;
+    private Collection<String> wantedDuties() {
+        return ready && !leaving ? duties.wanted(jobsLive || jobs.busy()) : List.of();
     }
 
     private void renew() {
@@ -603,22 +566,20 @@
     // ---- overload reports
 
     private void onGrant(Codec.In in) {
-        if (!in.text().equals(holder())) {
+        if (!in.text().equals(duties.holder())) {
             return;
         }
-        var key = in.text();
+        var duty = in.text();
         var grant = in.i64();
-        if (duties.granted(key, grant, in.i64(), in.i64(), Clocks.nowUs())
-                && key.equals(jobDuty())) {
+        if (duties.granted(duty, grant, in.i64(), in.i64(), Clocks.nowUs())
+                && duty.equals(duties.jobDuty())) {
             jobs.onGrant(grant);
         }
     }
 
     private void report() {
         var now = Clocks.nowUs();
-        var held = duties.held(now);
-        held.keySet().removeAll(List.of(jobDuty(), scaleDuty()));
-        reporting.tick(held, now);
+        reporting.tick(duties.heldReports(now), now);
     }
 
     /** The home passes a report on to the edges elsewhere, by their homes. */
