--- a/edge/src/main/java/martenloom/edge/EdgeDaemon.java
+++ b/edge/src/main/java/martenloom/edge/EdgeDaemon.java
@@ -8,15 +8,9 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.security.SecureRandom;
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
@@ -24,7 +18,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BiConsumer;
-import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import martenloom.autoscaler.ScaleSettings;
@@ -33,7 +26,6 @@
 import martenloom.common.fleet.FleetRecords;
 import martenloom.common.link.LinkTraffic;
 import martenloom.common.link.PeerLinks;
-import martenloom.common.link.PendingRequests;
 import martenloom.common.log.RingLog;
 import martenloom.common.settings.Settings;
 import martenloom.edge.dispatch.ClientConnection;
@@ -55,23 +47,9 @@
     private static final long SAMPLE_US = 100_000;
     private static final long REPORT_US = 250_000;
     private static final long SCALE_US = 200_000;
-    private static final long STALE_US = 1_500_000;
-    private static final long SILENCE_US = 1_400_000;
-    private static final long REDIAL_US = 150_000;
 
-    /** How long a daemon may take to answer before another is tried. */
-    private static final long REACH_US = 700_000;
-
-    /** How long a daemon that was no good as a home is passed over. */
-    private static final long AVOID_US = 3_000_000;
-
-    /** How long a new home may be stale before a better one is sought. */
-    private static final long SETTLE_US = 800_000;
-
-    /** How long a home outside the own zone is kept before one in the zone is asked. */
-    private static final long RETURN_US = 6_000_000;
-
-    private static final long ASK_US = 3_000_000;
+    /** The age up to which the sums over all edges are taken as those of now. */
+    private static final long SUMS_FRESH_US = 1_400_000;
 
     /** The records that count only from the home of the moment, on the link to it. */
     private static final Set<Integer> OF_THE_HOME =
@@ -90,38 +68,22 @@
     private final RequestDispatcher dispatcher;
     private final ReplicaTable replicaTable;
     private final JobRunner jobs;
-    private final PendingRequests<PeerLinks.Link> homeRequests =
-            new PendingRequests<>(new SecureRandom().nextLong());
+    private final HomeConnection home;
+    private final CoreClient core;
     private long scaleOrders;
     private boolean jobsLive;
     private final long life = System.nanoTime() ^ ThreadLocalRandom.current().nextLong();
-    private final Set<String> cores = new LinkedHashSet<>();
-    private final Map<String, Long> avoid = new HashMap<>();
     private final LoadView load;
     private final ScaleRunner scaler;
     private int edgesNow;
     private final OverloadReporting reporting;
     private final EdgeDuties duties;
     private Optional<SimpleServer> frontend = Optional.empty();
-    private Optional<PeerLinks.Dial> home = Optional.empty();
-    private String homeIp = "";
-
-    /**
-     * A daemon that is asked whether it would be a better home; the present one is kept until it
-     * says so.
-     */
-    private Optional<PeerLinks.Dial> candidate = Optional.empty();
-
-    private String candidateIp = "";
-    private long candidateSinceUs;
-    private long homeSinceUs;
-    private long homePickedUs;
     private long seq;
     private long edition = -1;
     private volatile long revision;
     private boolean ready;
     private boolean leaving;
-    private boolean synced;
     private long firstNewsUs;
     private int mismatches;
     private int most = 1;
@@ -137,35 +99,18 @@
         replicaTable = new ReplicaTable(p);
         dispatcher = new RequestDispatcher(loop, p, replicaTable);
         duties = new EdgeDuties(p, dispatcher, life);
+        home = new HomeConnection(p, loop, this, this::renewal);
+        core = new CoreClient(loop, home);
         reporting = new OverloadReporting(p, dispatcher, this::tell);
         load = new LoadView(replicaTable, dispatcher, p.ip, life);
-        scaler =
-                new ScaleRunner(
-                        dispatcher,
-                        p.region,
-                        scaling,
-                        (key, g, n, rest, reply) ->
-                                askCore(
-                                        "SCALE",
-                                        key,
-                                        g,
-                                        ++scaleOrders,
-                                        Stream.concat(
-                                                        Stream.of(
-                                                                n == ScaleRunner.ALL
-                                                                        ? "all"
-                                                                        : String.valueOf(n)),
-                                                        rest.stream())
-                                                .collect(Collectors.joining("\n")),
-                                        reply));
+        scaler = new ScaleRunner(dispatcher, p.region, scaling, this::orderReplicas);
         jobs =
                 new JobRunner(
                         dispatcher,
-                        this::askCore,
+                        core,
                         () -> duties.holdsJobs(Clocks.nowUs()),
                         (us, r) -> Clocks.after(loop, us, r),
                         p.ip);
-        p.seeds.forEach(s -> cores.add(s.substring(0, s.lastIndexOf(':'))));
     }
 
     private final CompletableFuture<Boolean> readied = new CompletableFuture<>();
@@ -210,10 +155,10 @@
                         .build();
         front.listen();
         frontend = Optional.of(front);
-        pickHome();
+        home.open();
         Clocks.every(loop, 20_000, dispatcher::tick);
         Clocks.every(loop, 500_000, dispatcher::sweep);
-        Clocks.every(loop, RENEW_US, this::renew);
+        Clocks.every(loop, RENEW_US, home::renew);
         Clocks.every(loop, SAMPLE_US, this::sample);
         Clocks.every(loop, REPORT_US, this::report);
         Clocks.every(loop, 200_000, jobs::tick);
@@ -235,112 +180,13 @@
                 () -> {
                     leaving = true;
                     RingLog.note("leaving");
-                    renew();
+                    home.renew();
                     departure.begin();
                 });
         departure.await();
     }
 
-    // ---- the home
-
-    /** The core daemons in the order in which this edge would take them as its home. */
-    private List<String> homesByPreference(long now) {
-        settings.seeds.forEach(s -> cores.add(s.substring(0, s.lastIndexOf(':'))));
-        var l = new ArrayList<>(cores);
-        l.sort(
-                Comparator.<String>comparingInt(c -> avoided(c, now) ? 1 : 0)
-                        .thenComparing(c -> !inOwnZone(c))
-                        .thenComparingInt(c -> (c + settings.ip).hashCode()));
-        return l;
-    }
-
-    private boolean avoided(String ip, long now) {
-        return avoid.getOrDefault(ip, 0L) > now;
-    }
-
-    private boolean inOwnZone(String ip) {
-        return ip.startsWith(settings.ip.substring(0, settings.ip.lastIndexOf('.') + 1));
-    }
-
-    private PeerLinks.Dial dial(String ip) {
-        return new PeerLinks.Dial(
-                loop,
-                Settings.address("home", ip + ":" + settings.portLow),
-                REDIAL_US,
-                x -> x.send(renewal()),
-                this);
-    }
-
-    private void pickHome() {
-        var now = Clocks.nowUs();
-        var l = homesByPreference(now);
-        if (l.isEmpty()) {
-            return;
-        }
-        homeIp = l.get(0);
-        homeSinceUs = now;
-        homePickedUs = now;
-        synced = false;
-        home = Optional.of(dial(homeIp));
-    }
-
-    private void leaveHome(String why) {
-        RingLog.note("home " + homeIp + " is left: " + why);
-        avoid.put(homeIp, Clocks.nowUs() + AVOID_US);
-        dropCandidate();
-        home.ifPresent(PeerLinks.Dial::stop);
-        pickHome();
-    }
-
-    // ---- a better home: asked first, then taken
-
-    /** Asks the next daemon that may be a better home, one at a time. */
-    private void seekHome(Predicate<String> which, long now) {
-        if (candidate.isPresent()) {
-            return;
-        }
-        homesByPreference(now).stream()
-                .filter(c -> !c.equals(homeIp) && !avoided(c, now) && which.test(c))
-                .findFirst()
-                .ifPresent(
-                        c -> {
-                            candidateIp = c;
-                            candidateSinceUs = now;
-                            candidate = Optional.of(dial(c));
-                        });
-    }
-
-    private void dropCandidate() {
-        candidate.ifPresent(PeerLinks.Dial::stop);
-        candidate = Optional.empty();
-    }
-
-    private void passOverCandidate(String why) {
-        RingLog.note("home " + homeIp + " is kept: " + candidateIp + " is " + why);
-        avoid.put(candidateIp, Clocks.nowUs() + AVOID_US);
-        dropCandidate();
-    }
-
-    private boolean isCandidate(PeerLinks.Link l) {
-        return candidate.flatMap(PeerLinks.Dial::link).filter(x -> x == l).isPresent();
-    }
-
-    /**
-     * The candidate is in contact with a majority: it is the home from now on, and its whole state
-     * is asked for.
-     */
-    private void takeCandidate() {
-        RingLog.note("home " + homeIp + " is left for " + candidateIp);
-        avoid.put(homeIp, Clocks.nowUs() + AVOID_US);
-        var old = home;
-        home = candidate;
-        homeIp = candidateIp;
-        homePickedUs = Clocks.nowUs();
-        homeSinceUs = homePickedUs;
-        candidate = Optional.empty();
-        old.ifPresent(PeerLinks.Dial::stop);
-        home.ifPresent(d -> d.send(new Codec.Out(FleetRecords.RESYNC).bytes()));
-    }
+    // ---- the subscription at the home
 
     private byte[] renewal() {
         var now = Clocks.nowUs();
@@ -367,7 +213,7 @@
 
     private void scale() {
         var now = Clocks.nowUs();
-        var fresh = now - load.wholeUs() < SILENCE_US;
+        var fresh = now - load.wholeUs() < SUMS_FRESH_US;
         scaler.tick(
                 duties.scaleGrant(now).orElse(0L),
                 load.whole(),
@@ -375,35 +221,22 @@
                 now);
     }
 
-    // ---- words to the core about jobs
-
-    /**
-     * Asks the core by the home; the version tells the request from a late copy, see
-     * CoreState.Change.
-     */
-    private void askCore(
-            String act,
-            String subject,
-            long fence,
-            long version,
-            String body,
+    /** Tells the core how many replicas a model shall have and which of them rest. */
+    private void orderReplicas(
+            String model,
+            long grant,
+            int desired,
+            Collection<String> resting,
             BiConsumer<Integer, String> reply) {
-        var l = home.flatMap(PeerLinks.Dial::link);
-        if (l.isEmpty()) {
-            loop.post(() -> reply.accept(503, "no home"));
-            return;
-        }
-        var id = homeRequests.open(l.get(), reply);
-        var o = new Codec.Out(FleetRecords.EDGE_ASK);
-        id.write(o);
-        l.get().send(o.text(act).text(subject).i64(fence).i64(version).text(body).bytes());
-        Clocks.after(loop, ASK_US, () -> homeRequests.expire(id, "no reply"));
-    }
-
-    private void onAnswer(PeerLinks.Link l, Codec.In in) {
-        if (!homeRequests.answered(PendingRequests.RequestId.read(in), l, in.i32(), in.text())) {
-            RingLog.note("link " + l.peer + ": an answer to no request of ours is dropped");
-        }
+        var count = desired == ScaleRunner.ALL ? "all" : String.valueOf(desired);
+        var body = Stream.concat(Stream.of(count), resting.stream());
+        core.ask(
+                "SCALE",
+                model,
+                grant,
+                ++scaleOrders,
+                body.collect(Collectors.joining("\n")),
+                reply);
     }
 
     private void onJobs(Codec.In in) {
@@ -419,64 +252,34 @@
         return ready && !leaving ? duties.wanted(jobsLive || jobs.busy()) : List.of();
     }
 
-    private void renew() {
-        var now = Clocks.nowUs();
-        if (candidate.isPresent() && now - candidateSinceUs > REACH_US) {
-            passOverCandidate("not reached");
-        }
-        var l = home.flatMap(PeerLinks.Dial::link);
-        if (l.isPresent()) {
-            if (now - l.get().heardUs > SILENCE_US) {
-                leaveHome("silent");
-                return;
-            }
-            l.get().send(renewal());
-            if (!inOwnZone(homeIp) && now - homePickedUs > RETURN_US) {
-                seekHome(this::inOwnZone, now);
-            }
-        } else if (now - homeSinceUs > REACH_US) {
-            leaveHome("not reached");
-        }
-    }
-
     private void onNews(PeerLinks.Link l, Codec.In in) {
         var now = Clocks.nowUs();
         var stamp = in.i64();
         var up = in.i64();
         var stale = in.i64();
-        if (isCandidate(l)) {
-            if (stale >= STALE_US) {
-                passOverCandidate("stale by " + stale / 1000 + " ms");
-                return;
-            }
-            takeCandidate();
+        if (home.isCandidate(l) && !home.judgeCandidate(stale)) {
+            return;
         }
         var ed = in.i64();
         var digest = in.i32();
         most = Math.max(most, in.i32());
         edgesNow = in.i32();
         most = Math.max(most, edgesNow);
-        var known = in.texts();
-        if (stale < STALE_US) {
-            cores.clear();
-        }
-        cores.addAll(known);
+        home.onCores(in.texts(), stale);
         dispatcher.onEdges(most);
         jobsLive = in.flag();
         replicaTable.lent(
-                homeIp, stamp + in.i64(), in.list(x -> new ReplicaTable.Leased(x.text(), x.i32())));
+                home.ip(),
+                stamp + in.i64(),
+                in.list(x -> new ReplicaTable.Leased(x.text(), x.i32())));
         mismatches = digest == replicaTable.digest() && ed <= edition ? 0 : mismatches + 1;
         if (mismatches > 2) {
             mismatches = 0;
-            home.ifPresent(d -> d.send(new Codec.Out(FleetRecords.RESYNC).bytes()));
+            home.requestWholeState();
         }
-        if (stale < STALE_US) {
-            homeSinceUs = now;
-            if (firstNewsUs == 0 && edition > 0) {
-                firstNewsUs = now;
-            }
-        } else if (now - homePickedUs > SETTLE_US) {
-            seekHome(c -> true, now);
+        home.onAge(stale, now);
+        if (HomeConnection.isFresh(stale) && firstNewsUs == 0 && edition > 0) {
+            firstNewsUs = now;
         }
         becomeReady(now, up);
     }
@@ -487,7 +290,8 @@
         }
         var t = dispatcher.table();
         var known = t.services.keySet().stream().allMatch(s -> !replicaTable.of(s).isEmpty());
-        if (known && synced && up > settings.beatMs * 1500L || now - firstNewsUs > 3_000_000) {
+        if (known && home.synced() && up > settings.beatMs * 1500L
+                || now - firstNewsUs > 3_000_000) {
             ready = true;
             readied.complete(true);
             RingLog.say(
@@ -498,7 +302,7 @@
                             + ", "
                             + replicaTable.all().size()
                             + " replicas");
-            renew();
+            home.renew();
         }
     }
 
@@ -519,14 +323,15 @@
         }
         if (rev > revision) {
             if (routingText.isEmpty()) {
-                home.ifPresent(d -> d.send(new Codec.Out(FleetRecords.RESYNC).bytes()));
+                home.requestWholeState();
                 return;
             }
             dispatcher.onTable(RoutingLanguage.compile(routingText));
             revision = rev;
         }
         edition = ed;
-        RingLog.note("configuration edition " + ed + " revision " + rev + " from home " + homeIp);
+        RingLog.note(
+                "configuration edition " + ed + " revision " + rev + " from home " + home.ip());
         dispatcher.onPlaced(placed);
         scaler.onPlaced(placed);
         dispatcher.onEvacuated(Set.copyOf(ev), Clocks.nowUs());
@@ -538,7 +343,7 @@
         var rs = in.list(x -> FleetRecords.Replica.read(x, now));
         rs.forEach(dispatcher::onReplica);
         if (whole) {
-            synced = true;
+            home.onSynced();
             var ids = new HashSet<String>();
             rs.forEach(r -> ids.add(r.id));
             for (var s : List.copyOf(replicaTable.all())) {
@@ -559,8 +364,7 @@
             RingLog.note(
                     "overload " + query("overload").replace('\n', ';') + " " + query("counters"));
         }
-        home.flatMap(PeerLinks.Dial::link)
-                .ifPresent(l -> load.part(Clocks.nowUs()).ifPresent(l::send));
+        home.link().ifPresent(l -> load.part(Clocks.nowUs()).ifPresent(l::send));
     }
 
     // ---- overload reports
@@ -587,7 +391,7 @@
         var o = new Codec.Out(FleetRecords.REPORT);
         r.write(o);
         RingLog.note("report " + r);
-        home.ifPresent(d -> d.send(o.bytes()));
+        home.send(o.bytes());
     }
 
     private void onReport(Overload.Report r) {
@@ -601,14 +405,13 @@
     @Override
     public void onRecord(PeerLinks.Link l, byte[] record) {
         var in = new Codec.In(record, true);
-        if (isCandidate(l)) {
+        if (home.isCandidate(l)) {
             if (in.type == FleetRecords.NEWS) {
                 onNews(l, in);
             }
             return;
         }
-        if (OF_THE_HOME.contains(in.type)
-                && home.flatMap(PeerLinks.Dial::link).filter(h -> h == l).isEmpty()) {
+        if (OF_THE_HOME.contains(in.type) && !home.isHome(l)) {
             RingLog.note(
                     "link " + l.peer + ": record " + in.type + " is not from the home, dropped");
             return;
@@ -624,7 +427,7 @@
             case FleetRecords.REPLICAS -> onReplicas(in);
             case FleetRecords.DUTY_GRANT -> onGrant(in);
             case FleetRecords.JOBS -> onJobs(in);
-            case FleetRecords.ANSWER -> onAnswer(l, in);
+            case FleetRecords.ANSWER -> core.onAnswer(l, in);
             case FleetRecords.WHOLE_SUM -> load.onWhole(in, Clocks.nowUs());
             case FleetRecords.REPORT -> onReport(Overload.Report.read(in));
             case FleetRecords.QUERY ->
@@ -635,7 +438,7 @@
 
     @Override
     public void onClosed(PeerLinks.Link l) {
-        homeRequests.closed(l, "the link to the home closed before an answer");
+        core.onClosed(l);
         RingLog.note("link " + l.peer + " closed");
     }
 
@@ -729,7 +532,7 @@
                                                                     : "")));
             case "configuration" -> b.append(RoutingLanguage.write(dispatcher.table()));
             case "home" ->
-                    b.append(homeIp)
+                    b.append(home.ip())
                             .append(ready ? " ready" : " not ready")
                             .append(" edition ")
                             .append(edition)
