--- a/edge/src/main/java/martenloom/edge/EdgeDaemon.java
+++ b/edge/src/main/java/martenloom/edge/EdgeDaemon.java
@@ -24,7 +24,6 @@
 import martenloom.common.clock.Clocks;
 import martenloom.common.codec.Codec;
 import martenloom.common.fleet.FleetRecords;
-import martenloom.common.link.LinkTraffic;
 import martenloom.common.link.PeerLinks;
 import martenloom.common.log.RingLog;
 import martenloom.common.settings.Settings;
@@ -69,6 +68,7 @@
     private final ReplicaTable replicaTable;
     private final JobRunner jobs;
     private final HomeConnection home;
+    private final ShellQueries shell;
     private final CoreClient core;
     private long scaleOrders;
     private boolean jobsLive;
@@ -111,6 +111,7 @@
                         () -> duties.holdsJobs(Clocks.nowUs()),
                         (us, r) -> Clocks.after(loop, us, r),
                         p.ip);
+        shell = new ShellQueries(dispatcher, jobs, scaler, duties, this::homeLine);
     }
 
     private final CompletableFuture<Boolean> readied = new CompletableFuture<>();
@@ -362,7 +363,10 @@
         turn++;
         if (RingLog.CHATTY && turn % 50 == 0) {
             RingLog.note(
-                    "overload " + query("overload").replace('\n', ';') + " " + query("counters"));
+                    "overload "
+                            + shell.answer("overload").replace('\n', ';')
+                            + " "
+                            + shell.answer("counters"));
         }
         home.link().ifPresent(l -> load.part(Clocks.nowUs()).ifPresent(l::send));
     }
@@ -431,7 +435,7 @@
             case FleetRecords.WHOLE_SUM -> load.onWhole(in, Clocks.nowUs());
             case FleetRecords.REPORT -> onReport(Overload.Report.read(in));
             case FleetRecords.QUERY ->
-                    l.send(new Codec.Out(FleetRecords.TEXT).text(query(in.text())).bytes());
+                    l.send(new Codec.Out(FleetRecords.TEXT).text(shell.answer(in.text())).bytes());
             default -> RingLog.note("link " + l.peer + ": unknown record " + in.type);
         }
     }
@@ -444,111 +448,13 @@
 
     // ---- the shell
 
-    private String query(String q) {
-        var now = Clocks.nowUs();
-        var b = new StringBuilder();
-        switch (q) {
-            case "counters" -> {
-                var c = dispatcher.counters;
-                b.append(
-                        String.format(
-                                "requests %d served %d refused %d failed %d repeats %d spilled %d"
-                                        + " timeouts %d moved %d jobs %d in-hand %d connections %d"
-                                        + " edges %d\n",
-                                c.requests,
-                                c.served,
-                                c.refused,
-                                c.failed,
-                                c.repeats,
-                                dispatcher.spilled(),
-                                c.timeouts,
-                                c.moved,
-                                c.jobs,
-                                dispatcher.inHand(),
-                                dispatcher.connections(),
-                                dispatcher.edges()));
-            }
-            case "overload" ->
-                    dispatcher
-                            .reports
-                            .states()
-                            .forEach(
-                                    (k, s) -> {
-                                        dispatcher.reports.tick(s, now);
-                                        b.append(
-                                                String.format(
-                                                        "%s %s share %.2f considered %d selected %d"
-                                                            + " spilled %d held %d refused %d stale"
-                                                            + " %d",
-                                                        k,
-                                                        s.phase,
-                                                        s.share,
-                                                        s.considered,
-                                                        s.selected,
-                                                        s.spilled,
-                                                        s.held,
-                                                        s.refused,
-                                                        s.stale));
-                                        s.report.ifPresent(
-                                                r ->
-                                                        b.append(
-                                                                String.format(
-                                                                        " reporter %s sequence"
-                                                                            + " %d.%d valid %d ms"
-                                                                            + " algorithm %s"
-                                                                            + " percent %d",
-                                                                        r.reporter(),
-                                                                        r.seq().grant(),
-                                                                        r.seq().counter(),
-                                                                        Math.max(0, s.untilUs - now)
-                                                                                / 1000,
-                                                                        r.algorithm(),
-                                                                        r.percent())));
-                                        b.append('\n');
-                                    });
-            case "leases" -> b.append(duties.text(now));
-            case "replicas" ->
-                    replicaTable
-                            .all()
-                            .forEach(
-                                    s ->
-                                            b.append(
-                                                    String.format(
-                                                            "%s %s %s in-hand %d others %d unread"
-                                                                + " %d rate %.1f work %d us rtt %d"
-                                                                + " us%s%s\n",
-                                                            s.row.id,
-                                                            s.row.service,
-                                                            s.row.zone,
-                                                            s.mine,
-                                                            s.othersInHand(now),
-                                                            s.unread,
-                                                            s.rate,
-                                                            (long) s.workUs,
-                                                            (long) s.rttUs,
-                                                            s.row.draining ? " draining" : "",
-                                                            now < s.suspectUntilUs
-                                                                    ? " suspect"
-                                                                    : "")));
-            case "configuration" -> b.append(RoutingLanguage.write(dispatcher.table()));
-            case "home" ->
-                    b.append(home.ip())
-                            .append(ready ? " ready" : " not ready")
-                            .append(" edition ")
-                            .append(edition)
-                            .append(" revision ")
-                            .append(revision)
-                            .append('\n');
-            case "jobs" -> b.append(jobs.text());
-            case "scaling" -> b.append(scaler.text(now));
-            case "places" -> b.append(dispatcher.places.text(200));
-            case "traffic" -> b.append(LinkTraffic.text());
-            case "log" -> b.append(RingLog.tail(200));
-            default ->
-                    b.append(
-                            "? counters overload leases replicas configuration home jobs scaling"
-                                    + " places traffic log\n");
-        }
-        return b.toString();
+    private String homeLine() {
+        return home.ip()
+                + (ready ? " ready" : " not ready")
+                + " edition "
+                + edition
+                + " revision "
+                + revision
+                + '\n';
     }
 }
--- /dev/null
+++ b/edge/src/main/java/martenloom/edge/ShellQueries.java
@@ -0,0 +1,153 @@
+package martenloom.edge;
+
+import java.util.function.Supplier;
+import martenloom.common.clock.Clocks;
+import martenloom.common.link.LinkTraffic;
+import martenloom.common.log.RingLog;
+import martenloom.edge.dispatch.RequestDispatcher;
+import martenloom.edge.jobs.JobRunner;
+import martenloom.edge.overload.Overload;
+import martenloom.edge.replica.ReplicaTable;
+import martenloom.edge.scaling.ScaleRunner;
+import martenloom.routing.language.RoutingLanguage;
+
+/**
+ * Answers the queries of the shell about this edge as plain text. A query never changes what the
+ * edge does; an unknown one is answered by the list of those that exist. Runs on the thread of the
+ * reactor.
+ */
+final class ShellQueries {
+    private static final int LOG_LINES = 200;
+    private static final int PLACE_LINES = 200;
+
+    private final RequestDispatcher dispatcher;
+    private final JobRunner jobs;
+    private final ScaleRunner scaler;
+    private final EdgeDuties duties;
+    private final Supplier<String> home;
+
+    /**
+     * Creates the answering side of the shell.
+     *
+     * @param home writes the line about the home and the state received from it
+     */
+    ShellQueries(
+            RequestDispatcher dispatcher,
+            JobRunner jobs,
+            ScaleRunner scaler,
+            EdgeDuties duties,
+            Supplier<String> home) {
+        this.dispatcher = dispatcher;
+        this.jobs = jobs;
+        this.scaler = scaler;
+        this.duties = duties;
+        this.home = home;
+    }
+
+    /** The answer to one query. */
+    String answer(String query) {
+        var now = Clocks.nowUs();
+        return switch (query) {
+            case "counters" -> counters();
+            case "overload" -> overload(now);
+            case "leases" -> duties.text(now);
+            case "replicas" -> replicas(now);
+            case "configuration" -> RoutingLanguage.write(dispatcher.table());
+            case "home" -> home.get();
+            case "jobs" -> jobs.text();
+            case "scaling" -> scaler.text(now);
+            case "places" -> dispatcher.places.text(PLACE_LINES);
+            case "traffic" -> LinkTraffic.text();
+            case "log" -> RingLog.tail(LOG_LINES);
+            default ->
+                    "? counters overload leases replicas configuration home jobs scaling"
+                            + " places traffic log\n";
+        };
+    }
+
+    private String counters() {
+        var counters = dispatcher.counters;
+        return String.format(
+                "requests %d served %d refused %d failed %d repeats %d spilled %d"
+                        + " timeouts %d moved %d jobs %d in-hand %d connections %d"
+                        + " edges %d\n",
+                counters.requests,
+                counters.served,
+                counters.refused,
+                counters.failed,
+                counters.repeats,
+                dispatcher.spilled(),
+                counters.timeouts,
+                counters.moved,
+                counters.jobs,
+                dispatcher.inHand(),
+                dispatcher.connections(),
+                dispatcher.edges());
+    }
+
+    private String overload(long now) {
+        var lines = new StringBuilder();
+        dispatcher
+                .reports
+                .states()
+                .forEach(
+                        (key, state) -> {
+                            dispatcher.reports.tick(state, now);
+                            lines.append(overloadState(key, state));
+                            state.report.ifPresent(
+                                    report ->
+                                            lines.append(
+                                                    overloadReport(report, state.untilUs - now)));
+                            lines.append('\n');
+                        });
+        return lines.toString();
+    }
+
+    private static String overloadState(String key, Overload.State state) {
+        return String.format(
+                "%s %s share %.2f considered %d selected %d spilled %d held %d refused %d"
+                        + " stale %d",
+                key,
+                state.phase,
+                state.share,
+                state.considered,
+                state.selected,
+                state.spilled,
+                state.held,
+                state.refused,
+                state.stale);
+    }
+
+    private static String overloadReport(Overload.Report report, long validUs) {
+        return String.format(
+                " reporter %s sequence %d.%d valid %d ms algorithm %s percent %d",
+                report.reporter(),
+                report.seq().grant(),
+                report.seq().counter(),
+                Math.max(0, validUs) / 1000,
+                report.algorithm(),
+                report.percent());
+    }
+
+    private String replicas(long now) {
+        var lines = new StringBuilder();
+        dispatcher.replicaTable.all().forEach(slot -> lines.append(replica(slot, now)));
+        return lines.toString();
+    }
+
+    private static String replica(ReplicaTable.Slot slot, long now) {
+        return String.format(
+                "%s %s %s in-hand %d others %d unread %d rate %.1f work %d us rtt %d us%s%s\n",
+                slot.row.id,
+                slot.row.service,
+                slot.row.zone,
+                slot.mine,
+                slot.othersInHand(now),
+                slot.unread,
+                slot.rate,
+                (long) slot.workUs,
+                (long) slot.rttUs,
+                slot.row.draining ? " draining" : "",
+                now < slot.suspectUntilUs ? " suspect" : "");
+    }
+}
