--- a/edge/src/main/java/martenloom/edge/HomeConnection.java
+++ b/edge/src/main/java/martenloom/edge/HomeConnection.java
@@ -127,7 +127,7 @@
         send(new Codec.Out(FleetRecords.RESYNC).bytes());
     }
 
-    /** Whether all replicas were received since a home was last picked without being asked. */
+    /** Whether all replicas were received since the last home that was never a candidate. */
     boolean synced() {
         return synced;
     }
--- a/edge/src/main/java/martenloom/edge/dispatch/Attempt.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/Attempt.java
@@ -331,8 +331,28 @@
         owner.onFailed(this, f, Optional.empty());
     }
 
-    /** Ends the attempt from our side, without telling the owner. */
-    public void abandon() {
+    /** Takes this attempt off the load of its replica; does nothing the second time. */
+    void uncount() {
+        if (counted) {
+            counted = false;
+            slot.mine--;
+            slot.attempts.remove(this);
+            if (!started()) {
+                slot.unread -= unread;
+            }
+            if (slot.attempts.isEmpty()) {
+                slot.quietSinceUs = 0;
+            }
+        }
+    }
+
+    /** Ends the attempt from our side, without telling the owner, and takes it off the load. */
+    void giveUp() {
+        uncount();
+        abandon();
+    }
+
+    private void abandon() {
         if (state != State.OVER) {
             state = State.OVER;
             var w = wire;
--- a/edge/src/main/java/martenloom/edge/dispatch/RequestDispatcher.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/RequestDispatcher.java
@@ -1,19 +1,15 @@
 package martenloom.edge.dispatch;
 
 import io.activej.eventloop.Eventloop;
-import java.util.Arrays;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Random;
 import java.util.Set;
 import martenloom.common.clock.Clocks;
 import martenloom.common.fleet.FleetRecords;
 import martenloom.common.load.LoadSummary;
-import martenloom.common.log.RingLog;
 import martenloom.common.settings.Settings;
 import martenloom.edge.budget.RetryBudget;
 import martenloom.edge.http.Head;
@@ -29,7 +25,7 @@
  * attempts and their budget are decided here; which replica is the chooser's.
  */
 public final class RequestDispatcher
-        implements ClientConnection.RequestDispatcher, Attempt.Owner, RequestQueues.Owner {
+        implements ClientConnection.RequestDispatcher, RequestQueues.Owner, AttemptResults.Owner {
     private final Eventloop loop;
     private final Settings settings;
     public final ReplicaTable replicaTable;
@@ -39,13 +35,14 @@
     private final Set<ClientConnection> clients = new LinkedHashSet<>();
     private final RequestQueues queues = new RequestQueues(this);
     private final SilenceWatch silence = new SilenceWatch(this::table, this::move);
-    private final Map<Request, Clocks.Timer> deadlines = new HashMap<>();
     private final ReplicaSelector chooser;
     private boolean leaving;
     private final LateRequestPolicy late = new LateRequestPolicy();
     private final long startUs = Clocks.nowUs();
-    private int ticket = new Random().nextInt(1 << 20);
+    private final SpreadCounter spread = new SpreadCounter();
     public final Counters counters = new Counters();
+    private final RequestCompletion completion;
+    private final AttemptResults results;
 
     /** Counts for the shell; plain numbers since the start. */
     public static final class Counters {
@@ -65,6 +62,8 @@
         settings = p;
         this.replicaTable = replicaTable;
         chooser = new ReplicaSelector(p, replicaTable, places, reports);
+        completion = new RequestCompletion(loop, counters, reports, spread);
+        results = new AttemptResults(loop, replicaTable, completion, late, counters, this);
         budget = new RetryBudget(p.bounds.retryRatio, p.bounds.retryWindowS, p.bounds.retrySlack);
     }
 
@@ -120,21 +119,17 @@
      * their way out.
      */
     public boolean holdsAnything() {
-        return deadlines.keySet().stream().anyMatch(e -> e.deferred == 0)
+        return completion.openRequests().stream().anyMatch(e -> e.deferred == 0)
                 || clients.stream().anyMatch(ClientConnection::unsent);
     }
 
     /** Ends all that is in hand: what is not yet answered gets an answer, and streams are cut. */
     public void endAll() {
-        for (var e : List.copyOf(deadlines.keySet())) {
-            if (e.deferred == 0) {
-                endUnfinished(e);
-            }
-        }
+        completion.endAll();
     }
 
     public int inHand() {
-        return deadlines.size();
+        return completion.openRequests().size();
     }
 
     public int connections() {
@@ -164,7 +159,7 @@
      * it runs, else here.
      */
     public void inFlight(LoadSummary t) {
-        for (var e : deadlines.keySet()) {
+        for (var e : completion.openRequests()) {
             var svc = table().services.get(e.service);
             if (e.deferred == 0 && svc != null && svc.engine) {
                 t.fly(e.attempt.map(l -> l.slot.region).orElse(settings.region) + "/" + svc.model);
@@ -188,23 +183,10 @@
         r.request.ifPresent(
                 e -> {
                     r.request = Optional.empty();
-                    drop(e);
+                    completion.drop(e);
                 });
     }
 
-    private void drop(Request e) {
-        if (!e.done()) {
-            var l = e.attempt;
-            finish(e);
-            l.ifPresent(this::letGo);
-        }
-    }
-
-    private void letGo(Attempt l) {
-        uncount(l);
-        l.abandon();
-    }
-
     @Override
     public void onRequest(ClientConnection r, Head h, byte[] body) {
         var now = Clocks.nowUs();
@@ -237,7 +219,7 @@
                         h,
                         body,
                         route.get(),
-                        route.get().service(ticket += 61),
+                        route.get().service(spread.next(61)),
                         late.sink(r, route.get(), now),
                         r.beganUs(),
                         now);
@@ -245,10 +227,10 @@
         budget.request(e.service, now);
         replicaTable.weigh(e);
         if (e.deadlineUs <= now + 1000 || late.tooLate(e, now)) {
-            refuse(e, 0.1);
+            completion.refuse(e, 0.1);
             return;
         }
-        deadlines.put(e, Clocks.after(loop, e.deadlineUs - now, () -> onDeadline(e)));
+        completion.open(e, now);
         if (!dispatch(e, now)) {
             enqueue(e, now);
         }
@@ -281,12 +263,12 @@
         }
         var e =
                 new Request(
-                        h, body, route.get(), route.get().service(ticket += 61), sink, now, now);
+                        h, body, route.get(), route.get().service(spread.next(61)), sink, now, now);
         e.deferred = urgency + 1;
         e.lastEvent = lastEvent;
-        deadlines.put(e, Clocks.after(loop, e.deadlineUs - now, () -> onDeadline(e)));
+        completion.open(e, now);
         if (!dispatch(e, now)) {
-            finish(e);
+            completion.finish(e);
             return Optional.empty();
         }
         counters.jobs++;
@@ -294,11 +276,16 @@
     }
 
     public void dropJob(Request e) {
-        drop(e);
+        completion.drop(e);
     }
 
     // ---- queue
 
+    @Override
+    public void refuse(Request e, double waitS) {
+        completion.refuse(e, waitS);
+    }
+
     @Override
     public long holdUs(Request e) {
         if (chooser.asleep(e)) {
@@ -307,13 +294,14 @@
         return Math.min(e.route.aimUs / 5, (e.deadlineUs - e.arrivedUs) / 3);
     }
 
-    private void enqueue(Request e, long now) {
+    @Override
+    public void enqueue(Request e, long now) {
         if (e.deferred > 0) {
-            giveUp(e);
+            completion.giveUp(e);
         } else if (e.sent > 0 && e.mayHaveRun && !e.route.repeatable()) {
-            fail(e, 502);
+            completion.fail(e, RequestCompletion.MAY_HAVE_RUN);
         } else if (!queues.add(e)) {
-            refuse(e, 1);
+            completion.refuse(e, 1);
         }
     }
 
@@ -329,7 +317,7 @@
         var svc = table().services.get(e.service);
         var slot = s.get();
         var kept = chooser.keeps(slot, e);
-        var l = new Attempt(e, slot, slot.unread(e, kept), this);
+        var l = new Attempt(e, slot, slot.unread(e, kept), results);
         l.aheadTokens = slot.unread + slot.othersUnread(now);
         l.ownTokens = ownTokens(e, slot, kept);
         e.attempt = Optional.of(l);
@@ -370,301 +358,10 @@
                 : s.has(e.parts.get(e.parts.size() - 1)) ? 0 : e.sizes.get(e.sizes.size() - 1);
     }
 
-    private void uncount(Attempt l) {
-        if (l.counted) {
-            l.counted = false;
-            l.slot.mine--;
-            l.slot.attempts.remove(l);
-            if (!l.started()) {
-                l.slot.unread -= l.unread;
-            }
-            if (l.slot.attempts.isEmpty()) {
-                l.slot.quietSinceUs = 0;
-            }
-        }
-    }
-
-    // ---- events from attempts
-
-    @Override
-    public void onStreamHead(Attempt l, Head h) {
-        var e = l.request;
-        if (e.done() || e.state() == Request.State.STREAMING) {
-            return;
-        }
-        e.become(Request.State.STREAMING);
-        h.dropHop();
-        e.sink.open(headOnly(h));
-    }
-
-    private static byte[] headOnly(Head h) {
-        var b = h.bytes();
-        return Arrays.copyOf(b, b.length - 2);
-    }
-
-    private void first(Attempt l) {
-        if (l.started()) {
-            return;
-        }
-        l.firstUs = Clocks.nowUs();
-        l.slot.unread -= l.unread;
-        var took = l.firstUs - l.sentUs - l.slot.rttUs - 15_000;
-        if (l.ownTokens > 1500 && l.aheadTokens < 3000 && took > 5_000) {
-            replicaTable.learnRate(l.slot, Math.min(400, l.ownTokens * 1000.0 / took));
-        }
-    }
-
-    @Override
-    public void onEvents(Attempt l, byte[] b, String lastId) {
-        var e = l.request;
-        first(l);
-        if (e.done()) {
-            return;
-        }
-        if (!lastId.isEmpty()) {
-            e.lastEvent = lastId;
-        }
-        e.sink.event(b);
-        if (e.sink.waiting() > 1 << 18) {
-            l.hold(true);
-            resumeWhenRead(l);
-        }
-    }
-
-    private void resumeWhenRead(Attempt l) {
-        Clocks.after(
-                loop,
-                10_000,
-                () -> {
-                    if (l.request.done() || l.request.sink.waiting() < 1 << 16) {
-                        l.hold(false);
-                    } else {
-                        resumeWhenRead(l);
-                    }
-                });
-    }
-
-    @Override
-    public void onStreamEnd(Attempt l, byte[] rest) {
-        uncount(l);
-        var e = l.request;
-        if (e.done()) {
-            return;
-        }
-        var now = Clocks.nowUs();
-        answered(l.slot, true, now);
-        late.onAnswered(e, now);
-        finish(e);
-        counters.served++;
-        e.sink.event(rest);
-        e.sink.end();
-        room();
-    }
-
-    @Override
-    public void onWhole(Attempt l, Head h, byte[] body) {
-        uncount(l);
-        var e = l.request;
-        e.sent++;
-        if (e.done()) {
-            return;
-        }
-        if (e.state() == Request.State.STREAMING) {
-            e.mayHaveRun = true;
-            cutOff(e);
-            return;
-        }
-        var now = Clocks.nowUs();
-        var took = now - l.sentUs;
-        answered(l.slot, h.status() < 500 || h.status() == 504, now);
-        if (h.status() / 100 == 2) {
-            l.slot.workUs += (Math.max(1000, took - l.slot.rttUs) - l.slot.workUs) * 0.05;
-        }
-        if (h.status() >= 500 && e.route.repeatable() && e.sent < e.route.tries) {
-            e.mayHaveRun = true;
-            e.tried.add(l.slot.row.id);
-            again(e);
-            return;
-        }
-        if (promises(h.status()) && !e.route.repeatable()) {
-            e.mayHaveRun = true;
-            fail(e, 502);
-            return;
-        }
-        late.onAnswered(e, now);
-        finish(e);
-        counters.served++;
-        h.dropHop();
-        e.sink.whole(headOnly(h), body);
-        room();
-    }
-
-    /**
-     * Statuses that tell a client that its request was not run: a replica that has run it may not
-     * say so through us.
-     */
-    private static boolean promises(int status) {
-        return status == 408 || status == 429 || status == 503;
-    }
-
-    @Override
-    public void onFailed(Attempt l, Attempt.Failure f, Optional<Head> h) {
-        uncount(l);
-        var e = l.request;
-        var now = Clocks.nowUs();
-        RingLog.note("attempt of " + e.id + " at " + l.slot.row.id + " failed: " + f);
-        var expired = now >= e.deadlineUs - 1000;
-        if (f == Attempt.Failure.UNSENT) {
-            if (!expired) {
-                l.slot.hold(700_000, now);
-            }
-        } else {
-            e.sent++;
-        }
-        if (f == Attempt.Failure.UNRUN) {
-            h.ifPresent(x -> turnedAway(l.slot, x, now));
-        } else if (f != Attempt.Failure.UNSENT) {
-            e.mayHaveRun = true;
-            answered(l.slot, false, now);
-        }
-        if (e.done()) {
-            return;
-        }
-        e.tried.add(l.slot.row.id);
-        e.attempt = Optional.empty();
-        if (f == Attempt.Failure.UNSENT && expired) {
-            onDeadline(e);
-        } else if (f == Attempt.Failure.UNSENT) {
-            e.tried.remove(l.slot.row.id);
-            retryOr(e, now);
-        } else if (f == Attempt.Failure.CUT && !e.route.resumable) {
-            cutOff(e);
-        } else if (f != Attempt.Failure.UNRUN && !e.route.repeatable()) {
-            fail(e, 502);
-        } else if (e.sent >= e.route.tries) {
-            giveUp(e);
-        } else {
-            again(e);
-        }
-    }
-
-    private void answered(ReplicaTable.Slot s, boolean well, long now) {
-        s.health.answered(well, now);
-        if (!well) {
-            replicaTable.judge(s, s.health.ok(now), s.health.bad(now), 0, 0, now);
-        }
-    }
-
-    private static void turnedAway(ReplicaTable.Slot s, Head h, long now) {
-        if (h.status() == 421) {
-            s.suspectUntilUs = now + 1_500_000;
-        } else if (h.status() == 503 || h.status() == 429) {
-            s.fullUntilUs = now + 60_000;
-        }
-    }
-
-    private void again(Request e) {
-        if (e.state() == Request.State.RUNNING) {
-            e.become(Request.State.WAITING);
-        }
-        e.attempt = Optional.empty();
-        retryOr(e, Clocks.nowUs());
-    }
-
-    private void retryOr(Request e, long now) {
-        if (!dispatch(e, now)) {
-            if (e.tried.size() >= replicaTable.of(e.service).size()) {
-                e.tried.clear();
-            }
-            enqueue(e, now);
-        }
-    }
-
-    private void giveUp(Request e) {
-        if (e.state() == Request.State.STREAMING) {
-            cutOff(e);
-        } else if (e.mayHaveRun) {
-            fail(e, 502);
-        } else {
-            refuse(e, 0.3);
-        }
-    }
-
-    // ---- ends
-
-    private void finish(Request e) {
-        e.become(Request.State.DONE);
-        Optional.ofNullable(deadlines.remove(e)).ifPresent(Clocks.Timer::cancel);
-        if (e.sink instanceof ClientConnection r) {
-            r.request = Optional.empty();
-        }
-    }
-
-    @Override
-    public void refuse(Request e, double waitS) {
-        if (e.state() == Request.State.STREAMING) {
-            cutOff(e);
-            return;
-        }
-        if (e.mayHaveRun && !e.route.repeatable()) {
-            fail(e, 502);
-            return;
-        }
-        finish(e);
-        counters.refused++;
-        e.keptAway.forEach(k -> reports.at(k).refused++);
-        e.sink.whole(
-                ClientConnection.plain(
-                        503,
-                        String.format(
-                                Locale.ROOT,
-                                "%.2f",
-                                waitS * (0.75 + Math.floorMod(ticket += 7, 100) / 200.0))),
-                new byte[0]);
-    }
-
-    private void fail(Request e, int status) {
-        if (e.state() == Request.State.STREAMING) {
-            cutOff(e);
-            return;
-        }
-        finish(e);
-        counters.failed++;
-        e.sink.whole(ClientConnection.plain(status, ""), new byte[0]);
-    }
-
-    private void cutOff(Request e) {
-        finish(e);
-        counters.failed++;
-        e.sink.cut();
-    }
-
-    private void onDeadline(Request e) {
-        if (e.done()) {
-            return;
-        }
-        counters.timeouts++;
-        endUnfinished(e);
-    }
-
-    /** A final answer for a request whose time is over: a promise only where it never ran. */
-    private void endUnfinished(Request e) {
-        var l = e.attempt;
-        var sent = l.isPresent() && l.get().state() != Attempt.State.OPENING;
-        e.mayHaveRun |= sent;
-        if (e.state() == Request.State.STREAMING) {
-            cutOff(e);
-        } else if (e.mayHaveRun) {
-            fail(e, 504);
-        } else {
-            refuse(e, 0.3);
-        }
-        l.ifPresent(this::letGo);
-    }
-
     private boolean roomPosted;
 
-    private void room() {
+    @Override
+    public void onRoom() {
         if (!roomPosted && queues.anyWaits()) {
             roomPosted = true;
             loop.post(
@@ -724,7 +421,7 @@
             return;
         }
         counters.moved++;
-        letGo(l);
+        l.giveUp();
     }
 
     /** A replica's life ended or its time runs out: what can go on elsewhere does. */
--- /dev/null
+++ b/edge/src/main/java/martenloom/edge/dispatch/SpreadCounter.java
@@ -0,0 +1,19 @@
+package martenloom.edge.dispatch;
+
+import java.util.Random;
+
+/**
+ * A counter that begins at random, by which choices among equals are spread evenly rather than
+ * drawn anew each time. Used on the thread of the reactor only.
+ */
+final class SpreadCounter {
+    private static final int FIRST_BELOW = 1 << 20;
+
+    private int value = new Random().nextInt(FIRST_BELOW);
+
+    /** Advances by a step and returns the new value. */
+    int next(int step) {
+        value += step;
+        return value;
+    }
+}
