--- a/edge/src/main/java/martenloom/edge/EdgeDaemon.java
+++ b/edge/src/main/java/martenloom/edge/EdgeDaemon.java
@@ -89,28 +89,28 @@
     private int most = 1;
     private int turn;
 
-    public EdgeDaemon(Settings p, Eventloop loop) {
-        this(p, loop, ScaleSettings.DEFAULT);
+    public EdgeDaemon(Settings settings, Eventloop loop) {
+        this(settings, loop, ScaleSettings.DEFAULT);
     }
 
-    public EdgeDaemon(Settings p, Eventloop loop, ScaleSettings scaling) {
-        settings = p;
+    public EdgeDaemon(Settings settings, Eventloop loop, ScaleSettings scaling) {
+        this.settings = settings;
         this.loop = loop;
-        replicaTable = new ReplicaTable(p);
-        dispatcher = new RequestDispatcher(loop, p, replicaTable);
-        duties = new EdgeDuties(p, dispatcher, life);
-        home = new HomeConnection(p, loop, this, this::renewal);
+        replicaTable = new ReplicaTable(settings);
+        dispatcher = new RequestDispatcher(loop, settings, replicaTable);
+        duties = new EdgeDuties(settings, dispatcher, life);
+        home = new HomeConnection(settings, loop, this, this::renewal);
         core = new CoreClient(loop, home);
-        reporting = new OverloadReporting(p, dispatcher, this::tell);
-        load = new LoadView(replicaTable, dispatcher, p.ip, life);
-        scaler = new ScaleRunner(dispatcher, p.region, scaling, this::orderReplicas);
+        reporting = new OverloadReporting(settings, dispatcher, this::tell);
+        load = new LoadView(replicaTable, dispatcher, settings.ip, life);
+        scaler = new ScaleRunner(dispatcher, settings.region, scaling, this::orderReplicas);
         jobs =
                 new JobRunner(
                         dispatcher,
                         core,
                         () -> duties.holdsJobs(Clocks.nowUs()),
-                        (us, r) -> Clocks.after(loop, us, r),
-                        p.ip);
+                        (delayUs, task) -> Clocks.after(loop, delayUs, task),
+                        settings.ip);
         shell = new ShellQueries(dispatcher, jobs, scaler, duties, this::homeLine);
     }
 
@@ -142,7 +142,7 @@
                 this);
         HttpServer.builder(
                         loop,
-                        q ->
+                        request ->
                                 HttpResponse.ofCode(ready && !leaving ? 200 : 503)
                                         .withPlainText(ready && !leaving ? "ready" : "not ready")
                                         .toPromise())
@@ -150,7 +150,7 @@
                 .build()
                 .listen();
         var front =
-                SimpleServer.builder(loop, s -> new ClientConnection(loop, s, dispatcher))
+                SimpleServer.builder(loop, socket -> new ClientConnection(loop, socket, dispatcher))
                         .withSocketSettings(SocketSettings.builder().withTcpNoDelay(true).build())
                         .withListenAddress(Settings.address("Frontend", settings.need("Frontend")))
                         .build();
@@ -191,21 +191,21 @@
 
     private byte[] renewal() {
         var now = Clocks.nowUs();
-        var e = new FleetRecords.Edge();
-        e.ip = settings.ip;
-        e.name = settings.name;
-        e.zone = settings.zone;
-        e.region = settings.region;
-        e.front = settings.need("Frontend");
-        e.ready = ready;
-        e.leaving = leaving;
-        e.life = life;
-        e.seq = ++seq;
-        e.revision = revision;
-        e.heardUs = now;
-        var o = new Codec.Out(FleetRecords.RENEW);
-        e.write(o, now);
-        return o.i64(now)
+        var edge = new FleetRecords.Edge();
+        edge.ip = settings.ip;
+        edge.name = settings.name;
+        edge.zone = settings.zone;
+        edge.region = settings.region;
+        edge.front = settings.need("Frontend");
+        edge.ready = ready;
+        edge.leaving = leaving;
+        edge.life = life;
+        edge.seq = ++seq;
+        edge.revision = revision;
+        edge.heardUs = now;
+        var out = new Codec.Out(FleetRecords.RENEW);
+        edge.write(out, now);
+        return out.i64(now)
                 .text(duties.holder())
                 .texts(wantedDuties())
                 .texts(replicaTable.coldIn(settings.region, dispatcher.table(), now))
@@ -243,55 +243,63 @@
     private void onJobs(Codec.In in) {
         jobs.onLines(
                 in.list(
-                        x ->
+                        line ->
                                 new JobRunner.Line(
-                                        x.text(), x.flag(), x.i64(), x.i32(), x.i64(), x.i64(),
-                                        x.text(), x.text())));
+                                        line.text(),
+                                        line.flag(),
+                                        line.i64(),
+                                        line.i32(),
+                                        line.i64(),
+                                        line.i64(),
+                                        line.text(),
+                                        line.text())));
     }
 
     private Collection<String> wantedDuties() {
         return ready && !leaving ? duties.wanted(jobsLive || jobs.busy()) : List.of();
     }
 
-    private void onNews(PeerLinks.Link l, Codec.In in) {
+    private void onNews(PeerLinks.Link link, Codec.In in) {
         var now = Clocks.nowUs();
-        var stamp = in.i64();
-        var up = in.i64();
-        var stale = in.i64();
-        if (home.isCandidate(l) && !home.judgeCandidate(stale)) {
+        var sentUs = in.i64();
+        var upUs = in.i64();
+        var staleUs = in.i64();
+        if (home.isCandidate(link) && !home.judgeCandidate(staleUs)) {
             return;
         }
-        var ed = in.i64();
+        var newsEdition = in.i64();
         var digest = in.i32();
         most = Math.max(most, in.i32());
         edgesNow = in.i32();
         most = Math.max(most, edgesNow);
-        home.onCores(in.texts(), stale);
+        home.onCores(in.texts(), staleUs);
         dispatcher.onEdges(most);
         jobsLive = in.flag();
         replicaTable.lent(
                 home.ip(),
-                stamp + in.i64(),
-                in.list(x -> new ReplicaTable.Leased(x.text(), x.i32())));
-        mismatches = digest == replicaTable.digest() && ed <= edition ? 0 : mismatches + 1;
+                sentUs + in.i64(),
+                in.list(lease -> new ReplicaTable.Leased(lease.text(), lease.i32())));
+        mismatches = digest == replicaTable.digest() && newsEdition <= edition ? 0 : mismatches + 1;
         if (mismatches > 2) {
             mismatches = 0;
             home.requestWholeState();
         }
-        home.onAge(stale, now);
-        if (HomeConnection.isFresh(stale) && firstNewsUs == 0 && edition > 0) {
+        home.onAge(staleUs, now);
+        if (HomeConnection.isFresh(staleUs) && firstNewsUs == 0 && edition > 0) {
             firstNewsUs = now;
         }
-        becomeReady(now, up);
+        becomeReady(now, upUs);
     }
 
-    private void becomeReady(long now, long up) {
+    private void becomeReady(long now, long upUs) {
         if (ready || edition <= 0 || revision == 0 || firstNewsUs == 0) {
             return;
         }
-        var t = dispatcher.table();
-        var known = t.services.keySet().stream().allMatch(s -> !replicaTable.of(s).isEmpty());
-        if (known && home.synced() && up > settings.beatMs * 1500L
+        var table = dispatcher.table();
+        var known =
+                table.services.keySet().stream()
+                        .allMatch(service -> !replicaTable.of(service).isEmpty());
+        if (known && home.synced() && upUs > settings.beatMs * 1500L
                 || now - firstNewsUs > 3_000_000) {
             ready = true;
             readied.complete(true);
@@ -308,50 +316,55 @@
     }
 
     private void onConfiguration(Codec.In in) {
-        var ed = in.i64();
-        var rev = in.i64();
+        var newEdition = in.i64();
+        var newRevision = in.i64();
         var routingText = in.text();
-        var ev = in.texts();
+        var evacuated = in.texts();
         var placed = new TreeMap<String, ScaleRunner.Placed>();
         in.list(
-                x ->
+                item ->
                         placed.put(
-                                x.text(),
+                                item.text(),
                                 new ScaleRunner.Placed(
-                                        x.i32(), x.flag(), new TreeSet<>(x.texts()))));
-        if (ed <= edition || rev < revision) {
+                                        item.i32(), item.flag(), new TreeSet<>(item.texts()))));
+        if (newEdition <= edition || newRevision < revision) {
             return;
         }
-        if (rev > revision) {
+        if (newRevision > revision) {
             if (routingText.isEmpty()) {
                 home.requestWholeState();
                 return;
             }
             dispatcher.onTable(RoutingLanguage.compile(routingText));
-            revision = rev;
+            revision = newRevision;
         }
-        edition = ed;
+        edition = newEdition;
         RingLog.note(
-                "configuration edition " + ed + " revision " + rev + " from home " + home.ip());
+                "configuration edition "
+                        + newEdition
+                        + " revision "
+                        + newRevision
+                        + " from home "
+                        + home.ip());
         dispatcher.onPlaced(placed);
         scaler.onPlaced(placed);
-        dispatcher.onEvacuated(Set.copyOf(ev), Clocks.nowUs());
+        dispatcher.onEvacuated(Set.copyOf(evacuated), Clocks.nowUs());
     }
 
     private void onReplicas(Codec.In in) {
         var now = Clocks.nowUs();
         var whole = in.flag();
-        var rs = in.list(x -> FleetRecords.Replica.read(x, now));
-        rs.forEach(dispatcher::onReplica);
+        var replicas = in.list(item -> FleetRecords.Replica.read(item, now));
+        replicas.forEach(dispatcher::onReplica);
         if (whole) {
             home.onSynced();
-            var ids = new HashSet<String>();
-            rs.forEach(r -> ids.add(r.id));
-            for (var s : List.copyOf(replicaTable.all())) {
-                if (!ids.contains(s.row.id)
-                        && now - s.heardUs > 10_000_000
-                        && s.attempts.isEmpty()) {
-                    replicaTable.drop(s);
+            var known = new HashSet<String>();
+            replicas.forEach(replica -> known.add(replica.id));
+            for (var slot : List.copyOf(replicaTable.all())) {
+                if (!known.contains(slot.row.id)
+                        && now - slot.heardUs > 10_000_000
+                        && slot.attempts.isEmpty()) {
+                    replicaTable.drop(slot);
                 }
             }
         }
@@ -368,7 +381,7 @@
                             + " "
                             + shell.answer("counters"));
         }
-        home.link().ifPresent(l -> load.part(Clocks.nowUs()).ifPresent(l::send));
+        home.link().ifPresent(link -> load.part(Clocks.nowUs()).ifPresent(link::send));
     }
 
     // ---- overload reports
@@ -391,59 +404,60 @@
     }
 
     /** The home passes a report on to the edges elsewhere, by their homes. */
-    private void tell(Overload.Report r) {
-        var o = new Codec.Out(FleetRecords.REPORT);
-        r.write(o);
-        RingLog.note("report " + r);
-        home.send(o.bytes());
+    private void tell(Overload.Report report) {
+        var out = new Codec.Out(FleetRecords.REPORT);
+        report.write(out);
+        RingLog.note("report " + report);
+        home.send(out.bytes());
     }
 
-    private void onReport(Overload.Report r) {
-        if (!r.region().equals(settings.region)) {
-            dispatcher.reports.take(r, Clocks.nowUs());
+    private void onReport(Overload.Report report) {
+        if (!report.region().equals(settings.region)) {
+            dispatcher.reports.take(report, Clocks.nowUs());
         }
     }
 
     // ---- records
 
     @Override
-    public void onRecord(PeerLinks.Link l, byte[] record) {
+    public void onRecord(PeerLinks.Link link, byte[] record) {
         var in = new Codec.In(record, true);
-        if (home.isCandidate(l)) {
+        if (home.isCandidate(link)) {
             if (in.type == FleetRecords.NEWS) {
-                onNews(l, in);
+                onNews(link, in);
             }
             return;
         }
-        if (OF_THE_HOME.contains(in.type) && !home.isHome(l)) {
+        if (OF_THE_HOME.contains(in.type) && !home.isHome(link)) {
             RingLog.note(
-                    "link " + l.peer + ": record " + in.type + " is not from the home, dropped");
+                    "link " + link.peer + ": record " + in.type + " is not from the home, dropped");
             return;
         }
         switch (in.type) {
             case FleetRecords.HELLO -> {
-                l.peer = in.text();
-                l.send(new Codec.Out(FleetRecords.HEARD).bytes());
+                link.peer = in.text();
+                link.send(new Codec.Out(FleetRecords.HEARD).bytes());
             }
             case FleetRecords.HEARD -> {}
-            case FleetRecords.NEWS -> onNews(l, in);
+            case FleetRecords.NEWS -> onNews(link, in);
             case FleetRecords.CONFIGURATION -> onConfiguration(in);
             case FleetRecords.REPLICAS -> onReplicas(in);
             case FleetRecords.DUTY_GRANT -> onGrant(in);
             case FleetRecords.JOBS -> onJobs(in);
-            case FleetRecords.ANSWER -> core.onAnswer(l, in);
+            case FleetRecords.ANSWER -> core.onAnswer(link, in);
             case FleetRecords.WHOLE_SUM -> load.onWhole(in, Clocks.nowUs());
             case FleetRecords.REPORT -> onReport(Overload.Report.read(in));
             case FleetRecords.QUERY ->
-                    l.send(new Codec.Out(FleetRecords.TEXT).text(shell.answer(in.text())).bytes());
-            default -> RingLog.note("link " + l.peer + ": unknown record " + in.type);
+                    link.send(
+                            new Codec.Out(FleetRecords.TEXT).text(shell.answer(in.text())).bytes());
+            default -> RingLog.note("link " + link.peer + ": unknown record " + in.type);
         }
     }
 
     @Override
-    public void onClosed(PeerLinks.Link l) {
-        core.onClosed(l);
-        RingLog.note("link " + l.peer + " closed");
+    public void onClosed(PeerLinks.Link link) {
+        core.onClosed(link);
+        RingLog.note("link " + link.peer + " closed");
     }
 
     // ---- the shell
--- a/edge/src/main/java/martenloom/edge/dispatch/RequestDispatcher.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/RequestDispatcher.java
@@ -57,32 +57,36 @@
         public long jobs;
     }
 
-    public RequestDispatcher(Eventloop loop, Settings p, ReplicaTable replicaTable) {
+    public RequestDispatcher(Eventloop loop, Settings settings, ReplicaTable replicaTable) {
         this.loop = loop;
-        settings = p;
+        this.settings = settings;
         this.replicaTable = replicaTable;
-        chooser = new ReplicaSelector(p, replicaTable, places, reports);
+        chooser = new ReplicaSelector(settings, replicaTable, places, reports);
         completion = new RequestCompletion(loop, counters, reports, spread);
         results = new AttemptResults(loop, replicaTable, completion, late, counters, this);
-        budget = new RetryBudget(p.bounds.retryRatio, p.bounds.retryWindowS, p.bounds.retrySlack);
+        budget =
+                new RetryBudget(
+                        settings.bounds.retryRatio,
+                        settings.bounds.retryWindowS,
+                        settings.bounds.retrySlack);
     }
 
-    // ---- what the office tells
+    // ---- what the core tells
 
-    public void onTable(RouteTable t) {
-        chooser.onTable(t);
+    public void onTable(RouteTable table) {
+        chooser.onTable(table);
     }
 
-    public void onPlaced(Map<String, ScaleRunner.Placed> p) {
-        chooser.onPlaced(p);
+    public void onPlaced(Map<String, ScaleRunner.Placed> placed) {
+        chooser.onPlaced(placed);
     }
 
     public void onEvacuated(Set<String> zones, long now) {
         chooser.onEvacuated(zones, now);
     }
 
-    public void onEdges(int n) {
-        chooser.onEdges(n);
+    public void onEdges(int edges) {
+        chooser.onEdges(edges);
     }
 
     public int edges() {
@@ -119,7 +123,7 @@
      * their way out.
      */
     public boolean holdsAnything() {
-        return completion.openRequests().stream().anyMatch(e -> e.deferred == 0)
+        return completion.openRequests().stream().anyMatch(request -> request.deferred == 0)
                 || clients.stream().anyMatch(ClientConnection::unsent);
     }
 
@@ -137,9 +141,9 @@
     }
 
     public void closeIdle() {
-        for (var r : List.copyOf(clients)) {
-            if (r.idle()) {
-                r.close();
+        for (var client : List.copyOf(clients)) {
+            if (client.idle()) {
+                client.close();
             }
         }
     }
@@ -158,11 +162,14 @@
      * Our requests in flight at models, by region and model: from acceptance to the end, each where
      * it runs, else here.
      */
-    public void inFlight(LoadSummary t) {
-        for (var e : completion.openRequests()) {
-            var svc = table().services.get(e.service);
-            if (e.deferred == 0 && svc != null && svc.engine) {
-                t.fly(e.attempt.map(l -> l.slot.region).orElse(settings.region) + "/" + svc.model);
+    public void inFlight(LoadSummary sums) {
+        for (var request : completion.openRequests()) {
+            var service = table().services.get(request.service);
+            if (request.deferred == 0 && service != null && service.engine) {
+                sums.fly(
+                        request.attempt.map(attempt -> attempt.slot.region).orElse(settings.region)
+                                + "/"
+                                + service.model);
             }
         }
     }
@@ -170,29 +177,29 @@
     // ---- events from clients
 
     @Override
-    public void onOpened(ClientConnection r) {
-        clients.add(r);
+    public void onOpened(ClientConnection client) {
+        clients.add(client);
         if (clients.size() > (settings.maxFds - 200) / 2) {
-            loop.post(r::close);
+            loop.post(client::close);
         }
     }
 
     @Override
-    public void onGone(ClientConnection r) {
-        clients.remove(r);
-        r.request.ifPresent(
-                e -> {
-                    r.request = Optional.empty();
-                    completion.drop(e);
+    public void onGone(ClientConnection client) {
+        clients.remove(client);
+        client.request.ifPresent(
+                request -> {
+                    client.request = Optional.empty();
+                    completion.drop(request);
                 });
     }
 
     @Override
-    public void onRequest(ClientConnection r, Head h, byte[] body) {
+    public void onRequest(ClientConnection client, Head head, byte[] body) {
         var now = Clocks.nowUs();
         counters.requests++;
         if (table().revision == 0) {
-            r.whole(
+            client.whole(
                     ClientConnection.plain(
                             503,
                             String.format(
@@ -200,39 +207,39 @@
                     new byte[0]);
             return;
         }
-        var q = h.two.indexOf('?');
-        var host = h.get("Host").toLowerCase(Locale.ROOT);
-        var c = host.indexOf(':');
+        var query = head.two.indexOf('?');
+        var host = head.get("Host").toLowerCase(Locale.ROOT);
+        var port = host.indexOf(':');
         var route =
                 table().find(
-                                c < 0 ? host : host.substring(0, c),
-                                q < 0 ? h.two : h.two.substring(0, q));
-        if (route.isEmpty() && c >= 0) {
-            route = table().find(host, q < 0 ? h.two : h.two.substring(0, q));
+                                port < 0 ? host : host.substring(0, port),
+                                query < 0 ? head.two : head.two.substring(0, query));
+        if (route.isEmpty() && port >= 0) {
+            route = table().find(host, query < 0 ? head.two : head.two.substring(0, query));
         }
         if (route.isEmpty()) {
-            r.whole(ClientConnection.plain(404, ""), new byte[0]);
+            client.whole(ClientConnection.plain(404, ""), new byte[0]);
             return;
         }
-        var e =
+        var request =
                 new Request(
-                        h,
+                        head,
                         body,
                         route.get(),
                         route.get().service(spread.next(61)),
-                        late.sink(r, route.get(), now),
-                        r.beganUs(),
+                        late.sink(client, route.get(), now),
+                        client.beganUs(),
                         now);
-        r.request = Optional.of(e);
-        budget.request(e.service, now);
-        replicaTable.weigh(e);
-        if (e.deadlineUs <= now + 1000 || late.tooLate(e, now)) {
-            completion.refuse(e, 0.1);
+        client.request = Optional.of(request);
+        budget.request(request.service, now);
+        replicaTable.weigh(request);
+        if (request.deadlineUs <= now + 1000 || late.tooLate(request, now)) {
+            completion.refuse(request, 0.1);
             return;
         }
-        completion.open(e, now);
-        if (!dispatch(e, now)) {
-            enqueue(e, now);
+        completion.open(request, now);
+        if (!dispatch(request, now)) {
+            enqueue(request, now);
         }
     }
 
@@ -251,93 +258,99 @@
      * before others.
      */
     public Optional<Request> startJob(
-            Head h, byte[] body, Request.Sink sink, int urgency, String lastEvent) {
+            Head head, byte[] body, Request.Sink sink, int urgency, String lastEvent) {
         var now = Clocks.nowUs();
-        var q = h.two.indexOf('?');
+        var query = head.two.indexOf('?');
         var route =
                 table().find(
-                                h.get("Host").toLowerCase(Locale.ROOT),
-                                q < 0 ? h.two : h.two.substring(0, q));
+                                head.get("Host").toLowerCase(Locale.ROOT),
+                                query < 0 ? head.two : head.two.substring(0, query));
         if (route.isEmpty()) {
             return Optional.empty();
         }
-        var e =
+        var request =
                 new Request(
-                        h, body, route.get(), route.get().service(spread.next(61)), sink, now, now);
-        e.deferred = urgency + 1;
-        e.lastEvent = lastEvent;
-        completion.open(e, now);
-        if (!dispatch(e, now)) {
-            completion.finish(e);
+                        head,
+                        body,
+                        route.get(),
+                        route.get().service(spread.next(61)),
+                        sink,
+                        now,
+                        now);
+        request.deferred = urgency + 1;
+        request.lastEvent = lastEvent;
+        completion.open(request, now);
+        if (!dispatch(request, now)) {
+            completion.finish(request);
             return Optional.empty();
         }
         counters.jobs++;
-        return Optional.of(e);
+        return Optional.of(request);
     }
 
-    public void dropJob(Request e) {
-        completion.drop(e);
+    public void dropJob(Request request) {
+        completion.drop(request);
     }
 
     // ---- queue
 
     @Override
-    public void refuse(Request e, double waitS) {
-        completion.refuse(e, waitS);
+    public void refuse(Request request, double waitS) {
+        completion.refuse(request, waitS);
     }
 
     @Override
-    public long holdUs(Request e) {
-        if (chooser.asleep(e)) {
-            return (e.deadlineUs - e.arrivedUs) / 2;
+    public long holdUs(Request request) {
+        if (chooser.asleep(request)) {
+            return (request.deadlineUs - request.arrivedUs) / 2;
         }
-        return Math.min(e.route.aimUs / 5, (e.deadlineUs - e.arrivedUs) / 3);
+        return Math.min(request.route.aimUs / 5, (request.deadlineUs - request.arrivedUs) / 3);
     }
 
     @Override
-    public void enqueue(Request e, long now) {
-        if (e.deferred > 0) {
-            completion.giveUp(e);
-        } else if (e.sent > 0 && e.mayHaveRun && !e.route.repeatable()) {
-            completion.fail(e, RequestCompletion.MAY_HAVE_RUN);
-        } else if (!queues.add(e)) {
-            completion.refuse(e, 1);
+    public void enqueue(Request request, long now) {
+        if (request.deferred > 0) {
+            completion.giveUp(request);
+        } else if (request.sent > 0 && request.mayHaveRun && !request.route.repeatable()) {
+            completion.fail(request, RequestCompletion.MAY_HAVE_RUN);
+        } else if (!queues.add(request)) {
+            completion.refuse(request, 1);
         }
     }
 
     @Override
-    public boolean dispatch(Request e, long now) {
-        var s = chooser.choose(e, now);
-        if (s.isEmpty()) {
+    public boolean dispatch(Request request, long now) {
+        var chosen = chooser.choose(request, now);
+        if (chosen.isEmpty()) {
             return false;
         }
-        if (e.sent > 0 && !budget.spend(e.service, edges(), now)) {
+        if (request.sent > 0 && !budget.spend(request.service, edges(), now)) {
             return false;
         }
-        var svc = table().services.get(e.service);
-        var slot = s.get();
-        var kept = chooser.keeps(slot, e);
-        var l = new Attempt(e, slot, slot.unread(e, kept), results);
-        l.aheadTokens = slot.unread + slot.othersUnread(now);
-        l.ownTokens = ownTokens(e, slot, kept);
-        e.attempt = Optional.of(l);
-        e.become(
-                e.state() == Request.State.STREAMING
+        var service = table().services.get(request.service);
+        var slot = chosen.get();
+        var kept = chooser.keeps(slot, request);
+        var attempt = new Attempt(request, slot, slot.unread(request, kept), results);
+        attempt.aheadTokens = slot.unread + slot.othersUnread(now);
+        attempt.ownTokens = ownTokens(request, slot, kept);
+        request.attempt = Optional.of(attempt);
+        request.become(
+                request.state() == Request.State.STREAMING
                         ? Request.State.STREAMING
                         : Request.State.RUNNING);
         slot.mine++;
-        slot.unread += l.unread;
-        slot.attempts.add(l);
-        if (e.sent > 0) {
+        slot.unread += attempt.unread;
+        slot.attempts.add(attempt);
+        if (request.sent > 0) {
             counters.repeats++;
         }
-        if (svc != null && svc.engine) {
-            slot.keep(e, svc.cacheTokens);
-            if (e.sharedTokens() >= ReplicaSelector.LARGE) {
-                places.put(ReplicaSelector.sharedPart(e), slot.row.id);
+        if (service != null && service.engine) {
+            slot.keep(request, service.cacheTokens);
+            if (request.sharedTokens() >= ReplicaSelector.LARGE) {
+                places.put(ReplicaSelector.sharedPart(request), slot.row.id);
             }
         }
-        l.start(loop, slot.region.equals(settings.region) ? 400 : 700);
+        attempt.start(loop, slot.region.equals(settings.region) ? 400 : 700);
         return true;
     }
 
@@ -345,17 +358,19 @@
      * Tokens that the replica certainly has to read: all when nobody sent the shared parts there,
      * else the own part.
      */
-    private static int ownTokens(Request e, ReplicaTable.Slot s, boolean kept) {
-        if (e.sizes.isEmpty()) {
-            return e.promptTokens;
+    private static int ownTokens(Request request, ReplicaTable.Slot slot, boolean kept) {
+        if (request.sizes.isEmpty()) {
+            return request.promptTokens;
         }
         var all =
                 !kept
-                        && e.sharedTokens() >= ReplicaSelector.LARGE
-                        && !s.has(ReplicaSelector.sharedPart(e));
+                        && request.sharedTokens() >= ReplicaSelector.LARGE
+                        && !slot.has(ReplicaSelector.sharedPart(request));
         return all
-                ? e.promptTokens
-                : s.has(e.parts.get(e.parts.size() - 1)) ? 0 : e.sizes.get(e.sizes.size() - 1);
+                ? request.promptTokens
+                : slot.has(request.parts.get(request.parts.size() - 1))
+                        ? 0
+                        : request.sizes.get(request.sizes.size() - 1);
     }
 
     private boolean roomPosted;
@@ -378,20 +393,20 @@
     public void tick() {
         var now = Clocks.nowUs();
         queues.drain(now);
-        for (var s : List.copyOf(replicaTable.all())) {
-            silence.check(s, now);
+        for (var slot : List.copyOf(replicaTable.all())) {
+            silence.check(slot, now);
         }
     }
 
     public void sweep() {
         var now = Clocks.nowUs();
-        for (var r : List.copyOf(clients)) {
-            r.check(now);
+        for (var client : List.copyOf(clients)) {
+            client.check(now);
         }
-        for (var s : replicaTable.all()) {
-            for (var w : List.copyOf(s.idle)) {
-                if (!w.usable(now)) {
-                    w.close();
+        for (var slot : replicaTable.all()) {
+            for (var connection : List.copyOf(slot.idle)) {
+                if (!connection.usable(now)) {
+                    connection.close();
                 }
             }
         }
@@ -401,32 +416,32 @@
      * Takes a repeatable request off a replica that has gone quiet, when another replica and the
      * budget allow.
      */
-    private void move(Attempt l, long now) {
-        var e = l.request;
-        if (e.done()
-                || !e.route.repeatable()
-                || l.state() == Attempt.State.OPENING
-                || l.state() == Attempt.State.OVER
-                || e.sent + 1 >= e.route.tries) {
+    private void move(Attempt attempt, long now) {
+        var request = attempt.request;
+        if (request.done()
+                || !request.route.repeatable()
+                || attempt.state() == Attempt.State.OPENING
+                || attempt.state() == Attempt.State.OVER
+                || request.sent + 1 >= request.route.tries) {
             return;
         }
-        if (now - l.sentUs < 150_000) {
+        if (now - attempt.sentUs < 150_000) {
             return;
         }
-        e.sent++;
-        e.tried.add(l.slot.row.id);
-        if (!dispatch(e, now)) {
-            e.sent--;
-            e.attempt = Optional.of(l);
+        request.sent++;
+        request.tried.add(attempt.slot.row.id);
+        if (!dispatch(request, now)) {
+            request.sent--;
+            request.attempt = Optional.of(attempt);
             return;
         }
         counters.moved++;
-        l.giveUp();
+        attempt.giveUp();
     }
 
     /** A replica's life ended or its time runs out: what can go on elsewhere does. */
-    public void onReplica(FleetRecords.Replica r) {
-        replicaTable.take(r);
-        replicaTable.slot(r.id).ifPresent(chooser::markResting);
+    public void onReplica(FleetRecords.Replica replica) {
+        replicaTable.take(replica);
+        replicaTable.slot(replica.id).ifPresent(chooser::markResting);
     }
 }
