--- a/edge/src/main/java/martenloom/edge/EdgeDaemon.java
+++ b/edge/src/main/java/martenloom/edge/EdgeDaemon.java
@@ -39,7 +39,9 @@
  * The edge program: puts the dispatcher on a reactor, subscribes to a home daemon of the core in
  * its zone for configurations, replicas, tells the home its part of the load and takes the sums of
  * all, and sends and takes overload reports by the same way. When the core is lost, it goes on with
- * the last good state.
+ * the last good state. The choice of the home, requests to the core, duties and answers to the
+ * shell have classes of their own; here each record is passed to the one it concerns. Everything
+ * but {@link #leave} and the getters runs on the thread of the reactor.
  */
 public final class EdgeDaemon implements PeerLinks.Handler {
     private static final long RENEW_US = 400_000;
@@ -67,6 +69,7 @@
     private final RequestDispatcher dispatcher;
     private final ReplicaTable replicaTable;
     private final JobRunner jobs;
+    private final CompletableFuture<Boolean> readied = new CompletableFuture<>();
     private final HomeConnection home;
     private final ShellQueries shell;
     private final CoreClient core;
@@ -79,14 +82,14 @@
     private final OverloadReporting reporting;
     private final EdgeDuties duties;
     private Optional<SimpleServer> frontend = Optional.empty();
-    private long seq;
+    private long renewals;
     private long edition = -1;
     private volatile long revision;
     private boolean ready;
     private boolean leaving;
     private long firstNewsUs;
     private int mismatches;
-    private int most = 1;
+    private int mostEdges = 1;
     private int turn;
 
     public EdgeDaemon(Settings settings, Eventloop loop) {
@@ -114,8 +117,6 @@
         shell = new ShellQueries(dispatcher, jobs, scaler, duties, this::homeLine);
     }
 
-    private final CompletableFuture<Boolean> readied = new CompletableFuture<>();
-
     /** The signal of readiness. */
     public CompletableFuture<Boolean> whenReady() {
         return readied;
@@ -131,10 +132,12 @@
         return revision;
     }
 
+    /** The owner of all requests at this edge. */
     public RequestDispatcher dispatcher() {
         return dispatcher;
     }
 
+    /** Listens, picks a home and starts all that is done at intervals. */
     public void start() throws IOException {
         PeerLinks.listen(
                 loop,
@@ -200,7 +203,7 @@
         edge.ready = ready;
         edge.leaving = leaving;
         edge.life = life;
-        edge.seq = ++seq;
+        edge.seq = ++renewals;
         edge.revision = revision;
         edge.heardUs = now;
         var out = new Codec.Out(FleetRecords.RENEW);
@@ -269,11 +272,11 @@
         }
         var newsEdition = in.i64();
         var digest = in.i32();
-        most = Math.max(most, in.i32());
+        mostEdges = Math.max(mostEdges, in.i32());
         edgesNow = in.i32();
-        most = Math.max(most, edgesNow);
+        mostEdges = Math.max(mostEdges, edgesNow);
         home.onCores(in.texts(), staleUs);
-        dispatcher.onEdges(most);
+        dispatcher.onEdges(mostEdges);
         jobsLive = in.flag();
         replicaTable.lent(
                 home.ip(),
--- a/edge/src/main/java/martenloom/edge/dispatch/RequestDispatcher.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/RequestDispatcher.java
@@ -199,24 +199,10 @@
         var now = Clocks.nowUs();
         counters.requests++;
         if (table().revision == 0) {
-            client.whole(
-                    ClientConnection.plain(
-                            503,
-                            String.format(
-                                    Locale.ROOT, "%.2f", Math.max(0.4, 2 - (now - startUs) / 1e6))),
-                    new byte[0]);
+            refuseWithoutTable(client, now);
             return;
         }
-        var query = head.two.indexOf('?');
-        var host = head.get("Host").toLowerCase(Locale.ROOT);
-        var port = host.indexOf(':');
-        var route =
-                table().find(
-                                port < 0 ? host : host.substring(0, port),
-                                query < 0 ? head.two : head.two.substring(0, query));
-        if (route.isEmpty() && port >= 0) {
-            route = table().find(host, query < 0 ? head.two : head.two.substring(0, query));
-        }
+        var route = findRoute(head);
         if (route.isEmpty()) {
             client.whole(ClientConnection.plain(404, ""), new byte[0]);
             return;
@@ -243,6 +229,27 @@
         }
     }
 
+    /** Until the first configuration has come, clients are told to come again soon. */
+    private void refuseWithoutTable(ClientConnection client, long now) {
+        var waitS = Math.max(0.4, 2 - (now - startUs) / 1e6);
+        var wait = String.format(Locale.ROOT, "%.2f", waitS);
+        client.whole(ClientConnection.plain(503, wait), new byte[0]);
+    }
+
+    /** The route of a request by its host without the port, else by its host as it stands. */
+    private Optional<RouteTable.Route> findRoute(Head head) {
+        var host = head.get("Host").toLowerCase(Locale.ROOT);
+        var port = host.indexOf(':');
+        var path = path(head);
+        var route = table().find(port < 0 ? host : host.substring(0, port), path);
+        return route.isEmpty() && port >= 0 ? table().find(host, path) : route;
+    }
+
+    private static String path(Head head) {
+        var query = head.two.indexOf('?');
+        return query < 0 ? head.two : head.two.substring(0, query);
+    }
+
     // ---- deferred jobs
 
     /**
@@ -260,11 +267,7 @@
     public Optional<Request> startJob(
             Head head, byte[] body, Request.Sink sink, int urgency, String lastEvent) {
         var now = Clocks.nowUs();
-        var query = head.two.indexOf('?');
-        var route =
-                table().find(
-                                head.get("Host").toLowerCase(Locale.ROOT),
-                                query < 0 ? head.two : head.two.substring(0, query));
+        var route = table().find(head.get("Host").toLowerCase(Locale.ROOT), path(head));
         if (route.isEmpty()) {
             return Optional.empty();
         }
