--- a/edge/src/main/java/martenloom/edge/EdgeDaemon.java
+++ b/edge/src/main/java/martenloom/edge/EdgeDaemon.java
@@ -8,15 +8,9 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.security.SecureRandom;
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
@@ -24,21 +18,17 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BiConsumer;
-import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import martenloom.autoscaler.ScaleSettings;
 import martenloom.common.clock.Clocks;
 import martenloom.common.codec.Codec;
 import martenloom.common.fleet.FleetRecords;
-import martenloom.common.link.LinkTraffic;
 import martenloom.common.link.PeerLinks;
-import martenloom.common.link.PendingRequests;
 import martenloom.common.log.RingLog;
 import martenloom.common.settings.Settings;
 import martenloom.edge.dispatch.ClientConnection;
 import martenloom.edge.dispatch.RequestDispatcher;
-import martenloom.edge.duty.HeldDuties;
 import martenloom.edge.jobs.JobRunner;
 import martenloom.edge.overload.Overload;
 import martenloom.edge.replica.ReplicaTable;
@@ -49,30 +39,18 @@
  * The edge program: puts the dispatcher on a reactor, subscribes to a home daemon of the core in
  * its zone for configurations, replicas, tells the home its part of the load and takes the sums of
  * all, and sends and takes overload reports by the same way. When the core is lost, it goes on with
- * the last good state.
+ * the last good state. The choice of the home, requests to the core, duties and answers to the
+ * shell have classes of their own; here each record is passed to the one it concerns. Everything
+ * but {@link #leave} and the getters runs on the thread of the reactor.
  */
 public final class EdgeDaemon implements PeerLinks.Handler {
     private static final long RENEW_US = 400_000;
     private static final long SAMPLE_US = 100_000;
     private static final long REPORT_US = 250_000;
     private static final long SCALE_US = 200_000;
-    private static final long STALE_US = 1_500_000;
-    private static final long SILENCE_US = 1_400_000;
-    private static final long REDIAL_US = 150_000;
 
-    /** How long a daemon may take to answer before another is tried. */
-    private static final long REACH_US = 700_000;
-
-    /** How long a daemon that was no good as a home is passed over. */
-    private static final long AVOID_US = 3_000_000;
-
-    /** How long a new home may be stale before a better one is sought. */
-    private static final long SETTLE_US = 800_000;
-
-    /** How long a home outside the own zone is kept before one in the zone is asked. */
-    private static final long RETURN_US = 6_000_000;
-
-    private static final long ASK_US = 3_000_000;
+    /** The age up to which the sums over all edges are taken as those of now. */
+    private static final long SUMS_FRESH_US = 1_400_000;
 
     /** The records that count only from the home of the moment, on the link to it. */
     private static final Set<Integer> OF_THE_HOME =
@@ -91,85 +69,54 @@
     private final RequestDispatcher dispatcher;
     private final ReplicaTable replicaTable;
     private final JobRunner jobs;
-    private final PendingRequests<PeerLinks.Link> homeRequests =
-            new PendingRequests<>(new SecureRandom().nextLong());
+    private final CompletableFuture<Boolean> readied = new CompletableFuture<>();
+    private final HomeConnection home;
+    private final ShellQueries shell;
+    private final CoreClient core;
     private long scaleOrders;
     private boolean jobsLive;
     private final long life = System.nanoTime() ^ ThreadLocalRandom.current().nextLong();
-    private final Set<String> cores = new LinkedHashSet<>();
-    private final Map<String, Long> avoid = new HashMap<>();
     private final LoadView load;
     private final ScaleRunner scaler;
     private int edgesNow;
     private final OverloadReporting reporting;
-    private final HeldDuties duties = new HeldDuties();
+    private final EdgeDuties duties;
     private Optional<SimpleServer> frontend = Optional.empty();
-    private Optional<PeerLinks.Dial> home = Optional.empty();
-    private String homeIp = "";
-
-    /**
-     * A daemon that is asked whether it would be a better home; the present one is kept until it
-     * says so.
-     */
-    private Optional<PeerLinks.Dial> candidate = Optional.empty();
-
-    private String candidateIp = "";
-    private long candidateSinceUs;
-    private long homeSinceUs;
-    private long homePickedUs;
-    private long seq;
+    private long renewals;
     private long edition = -1;
     private volatile long revision;
     private boolean ready;
     private boolean leaving;
-    private boolean synced;
     private long firstNewsUs;
     private int mismatches;
-    private int most = 1;
+    private int mostEdges = 1;
     private int turn;
 
-    public EdgeDaemon(Settings p, Eventloop loop) {
-        this(p, loop, ScaleSettings.DEFAULT);
+    public EdgeDaemon(Settings settings, Eventloop loop) {
+        this(settings, loop, ScaleSettings.DEFAULT);
     }
 
-    public EdgeDaemon(Settings p, Eventloop loop, ScaleSettings scaling) {
-        settings = p;
+    public EdgeDaemon(Settings settings, Eventloop loop, ScaleSettings scaling) {
+        this.settings = settings;
         this.loop = loop;
-        replicaTable = new ReplicaTable(p);
-        dispatcher = new RequestDispatcher(loop, p, replicaTable);
-        reporting = new OverloadReporting(p, dispatcher, this::tell);
-        load = new LoadView(replicaTable, dispatcher, p.ip, life);
-        scaler =
-                new ScaleRunner(
-                        dispatcher,
-                        p.region,
-                        scaling,
-                        (key, g, n, rest, reply) ->
-                                askCore(
-                                        "SCALE",
-                                        key,
-                                        g,
-                                        ++scaleOrders,
-                                        Stream.concat(
-                                                        Stream.of(
-                                                                n == ScaleRunner.ALL
-                                                                        ? "all"
-                                                                        : String.valueOf(n)),
-                                                        rest.stream())
-                                                .collect(Collectors.joining("\n")),
-                                        reply));
+        replicaTable = new ReplicaTable(settings);
+        dispatcher = new RequestDispatcher(loop, settings, replicaTable);
+        duties = new EdgeDuties(settings, dispatcher, life);
+        home = new HomeConnection(settings, loop, this, this::renewal);
+        core = new CoreClient(loop, home);
+        reporting = new OverloadReporting(settings, dispatcher, this::tell);
+        load = new LoadView(replicaTable, dispatcher, settings.ip, life);
+        scaler = new ScaleRunner(dispatcher, settings.region, scaling, this::orderReplicas);
         jobs =
                 new JobRunner(
                         dispatcher,
-                        this::askCore,
-                        () -> holds(jobDuty()),
-                        (us, r) -> Clocks.after(loop, us, r),
-                        p.ip);
-        p.seeds.forEach(s -> cores.add(s.substring(0, s.lastIndexOf(':'))));
+                        core,
+                        () -> duties.holdsJobs(Clocks.nowUs()),
+                        (delayUs, task) -> Clocks.after(loop, delayUs, task),
+                        settings.ip);
+        shell = new ShellQueries(dispatcher, jobs, scaler, duties, this::homeLine);
     }
 
-    private final CompletableFuture<Boolean> readied = new CompletableFuture<>();
-
     /** The signal of readiness. */
     public CompletableFuture<Boolean> whenReady() {
         return readied;
@@ -185,10 +132,12 @@
         return revision;
     }
 
+    /** The owner of all requests at this edge. */
     public RequestDispatcher dispatcher() {
         return dispatcher;
     }
 
+    /** Listens, picks a home and starts all that is done at intervals. */
     public void start() throws IOException {
         PeerLinks.listen(
                 loop,
@@ -196,7 +145,7 @@
                 this);
         HttpServer.builder(
                         loop,
-                        q ->
+                        request ->
                                 HttpResponse.ofCode(ready && !leaving ? 200 : 503)
                                         .withPlainText(ready && !leaving ? "ready" : "not ready")
                                         .toPromise())
@@ -204,16 +153,16 @@
                 .build()
                 .listen();
         var front =
-                SimpleServer.builder(loop, s -> new ClientConnection(loop, s, dispatcher))
+                SimpleServer.builder(loop, socket -> new ClientConnection(loop, socket, dispatcher))
                         .withSocketSettings(SocketSettings.builder().withTcpNoDelay(true).build())
                         .withListenAddress(Settings.address("Frontend", settings.need("Frontend")))
                         .build();
         front.listen();
         frontend = Optional.of(front);
-        pickHome();
+        home.open();
         Clocks.every(loop, 20_000, dispatcher::tick);
         Clocks.every(loop, 500_000, dispatcher::sweep);
-        Clocks.every(loop, RENEW_US, this::renew);
+        Clocks.every(loop, RENEW_US, home::renew);
         Clocks.every(loop, SAMPLE_US, this::sample);
         Clocks.every(loop, REPORT_US, this::report);
         Clocks.every(loop, 200_000, jobs::tick);
@@ -235,296 +184,126 @@
                 () -> {
                     leaving = true;
                     RingLog.note("leaving");
-                    renew();
+                    home.renew();
                     departure.begin();
                 });
         departure.await();
     }
 
-    // ---- the home
-
-    /** The core daemons in the order in which this edge would take them as its home. */
-    private List<String> homesByPreference(long now) {
-        settings.seeds.forEach(s -> cores.add(s.substring(0, s.lastIndexOf(':'))));
-        var l = new ArrayList<>(cores);
-        l.sort(
-                Comparator.<String>comparingInt(c -> avoided(c, now) ? 1 : 0)
-                        .thenComparing(c -> !inOwnZone(c))
-                        .thenComparingInt(c -> (c + settings.ip).hashCode()));
-        return l;
-    }
-
-    private boolean avoided(String ip, long now) {
-        return avoid.getOrDefault(ip, 0L) > now;
-    }
-
-    private boolean inOwnZone(String ip) {
-        return ip.startsWith(settings.ip.substring(0, settings.ip.lastIndexOf('.') + 1));
-    }
-
-    private PeerLinks.Dial dial(String ip) {
-        return new PeerLinks.Dial(
-                loop,
-                Settings.address("home", ip + ":" + settings.portLow),
-                REDIAL_US,
-                x -> x.send(renewal()),
-                this);
-    }
-
-    private void pickHome() {
-        var now = Clocks.nowUs();
-        var l = homesByPreference(now);
-        if (l.isEmpty()) {
-            return;
-        }
-        homeIp = l.get(0);
-        homeSinceUs = now;
-        homePickedUs = now;
-        synced = false;
-        home = Optional.of(dial(homeIp));
-    }
-
-    private void leaveHome(String why) {
-        RingLog.note("home " + homeIp + " is left: " + why);
-        avoid.put(homeIp, Clocks.nowUs() + AVOID_US);
-        dropCandidate();
-        home.ifPresent(PeerLinks.Dial::stop);
-        pickHome();
-    }
-
-    // ---- a better home: asked first, then taken
-
-    /** Asks the next daemon that may be a better home, one at a time. */
-    private void seekHome(Predicate<String> which, long now) {
-        if (candidate.isPresent()) {
-            return;
-        }
-        homesByPreference(now).stream()
-                .filter(c -> !c.equals(homeIp) && !avoided(c, now) && which.test(c))
-                .findFirst()
-                .ifPresent(
-                        c -> {
-                            candidateIp = c;
-                            candidateSinceUs = now;
-                            candidate = Optional.of(dial(c));
-                        });
-    }
-
-    private void dropCandidate() {
-        candidate.ifPresent(PeerLinks.Dial::stop);
-        candidate = Optional.empty();
-    }
-
-    private void passOverCandidate(String why) {
-        RingLog.note("home " + homeIp + " is kept: " + candidateIp + " is " + why);
-        avoid.put(candidateIp, Clocks.nowUs() + AVOID_US);
-        dropCandidate();
-    }
-
-    private boolean isCandidate(PeerLinks.Link l) {
-        return candidate.flatMap(PeerLinks.Dial::link).filter(x -> x == l).isPresent();
-    }
-
-    /**
-     * The candidate is in contact with a majority: it is the home from now on, and its whole state
-     * is asked for.
-     */
-    private void takeCandidate() {
-        RingLog.note("home " + homeIp + " is left for " + candidateIp);
-        avoid.put(homeIp, Clocks.nowUs() + AVOID_US);
-        var old = home;
-        home = candidate;
-        homeIp = candidateIp;
-        homePickedUs = Clocks.nowUs();
-        homeSinceUs = homePickedUs;
-        candidate = Optional.empty();
-        old.ifPresent(PeerLinks.Dial::stop);
-        home.ifPresent(d -> d.send(new Codec.Out(FleetRecords.RESYNC).bytes()));
-    }
+    // ---- the subscription at the home
 
     private byte[] renewal() {
         var now = Clocks.nowUs();
-        var e = new FleetRecords.Edge();
-        e.ip = settings.ip;
-        e.name = settings.name;
-        e.zone = settings.zone;
-        e.region = settings.region;
-        e.front = settings.need("Frontend");
-        e.ready = ready;
-        e.leaving = leaving;
-        e.life = life;
-        e.seq = ++seq;
-        e.revision = revision;
-        e.heardUs = now;
-        var o = new Codec.Out(FleetRecords.RENEW);
-        e.write(o, now);
-        return o.i64(now)
-                .text(holder())
-                .texts(wants())
+        var edge = new FleetRecords.Edge();
+        edge.ip = settings.ip;
+        edge.name = settings.name;
+        edge.zone = settings.zone;
+        edge.region = settings.region;
+        edge.front = settings.need("Frontend");
+        edge.ready = ready;
+        edge.leaving = leaving;
+        edge.life = life;
+        edge.seq = ++renewals;
+        edge.revision = revision;
+        edge.heardUs = now;
+        var out = new Codec.Out(FleetRecords.RENEW);
+        edge.write(out, now);
+        return out.i64(now)
+                .text(duties.holder())
+                .texts(wantedDuties())
                 .texts(replicaTable.coldIn(settings.region, dispatcher.table(), now))
                 .bytes();
     }
 
-    /**
-     * Who holds a duty is one life of an edge, so that a restarted one is a successor like any
-     * other.
-     */
-    private String holder() {
-        return settings.ip + "#" + Long.toHexString(life);
-    }
-
-    private String jobDuty() {
-        return "jobs/" + settings.region;
-    }
-
-    private String scaleDuty() {
-        return "scale/" + settings.region;
-    }
-
     private void scale() {
         var now = Clocks.nowUs();
-        var fresh = now - load.wholeUs() < SILENCE_US;
+        var fresh = now - load.wholeUs() < SUMS_FRESH_US;
         scaler.tick(
-                duties.grantInForce(scaleDuty(), now).orElse(0L),
+                duties.scaleGrant(now).orElse(0L),
                 load.whole(),
                 fresh && load.whole().edges() * 3 >= edgesNow * 2,
                 now);
     }
 
-    private boolean holds(String key) {
-        return duties.holds(key, Clocks.nowUs());
-    }
-
-    // ---- words to the core about jobs
-
-    /**
-     * Asks the core by the home; the version tells the request from a late copy, see
-     * CoreState.Change.
-     */
-    private void askCore(
-            String act,
-            String subject,
-            long fence,
-            long version,
-            String body,
+    /** Tells the core how many replicas a model shall have and which of them rest. */
+    private void orderReplicas(
+            String model,
+            long grant,
+            int desired,
+            Collection<String> resting,
             BiConsumer<Integer, String> reply) {
-        var l = home.flatMap(PeerLinks.Dial::link);
-        if (l.isEmpty()) {
-            loop.post(() -> reply.accept(503, "no home"));
-            return;
-        }
-        var id = homeRequests.open(l.get(), reply);
-        var o = new Codec.Out(FleetRecords.EDGE_ASK);
-        id.write(o);
-        l.get().send(o.text(act).text(subject).i64(fence).i64(version).text(body).bytes());
-        Clocks.after(loop, ASK_US, () -> homeRequests.expire(id, "no reply"));
-    }
-
-    private void onAnswer(PeerLinks.Link l, Codec.In in) {
-        if (!homeRequests.answered(PendingRequests.RequestId.read(in), l, in.i32(), in.text())) {
-            RingLog.note("link " + l.peer + ": an answer to no request of ours is dropped");
-        }
+        var count = desired == ScaleRunner.ALL ? "all" : String.valueOf(desired);
+        var body = Stream.concat(Stream.of(count), resting.stream());
+        core.ask(
+                "SCALE",
+                model,
+                grant,
+                ++scaleOrders,
+                body.collect(Collectors.joining("\n")),
+                reply);
     }
 
     private void onJobs(Codec.In in) {
         jobs.onLines(
                 in.list(
-                        x ->
+                        line ->
                                 new JobRunner.Line(
-                                        x.text(), x.flag(), x.i64(), x.i32(), x.i64(), x.i64(),
-                                        x.text(), x.text())));
-    }
-
-    private Collection<String> wants() {
-        var w = new TreeSet<String>();
-        if (ready && !leaving) {
-            dispatcher.table().services.values().stream()
-                    .filter(
-                            s ->
-                                    s.engine
-                                            && replicaTable.of(s.name).stream()
-                                                    .anyMatch(
-                                                            x -> x.region.equals(settings.region)))
-                    .forEach(s -> w.add(settings.region + "/" + s.model));
-            if (!w.isEmpty()) {
-                w.add(scaleDuty());
-            }
-            if (jobsLive || jobs.busy()) {
-                w.add(jobDuty());
-            }
-        }
-        return w;
+                                        line.text(),
+                                        line.flag(),
+                                        line.i64(),
+                                        line.i32(),
+                                        line.i64(),
+                                        line.i64(),
+                                        line.text(),
+                                        line.text())));
     }
 
-    private void renew() {
-        var now = Clocks.nowUs();
-        if (candidate.isPresent() && now - candidateSinceUs > REACH_US) {
-            passOverCandidate("not reached");
-        }
-        var l = home.flatMap(PeerLinks.Dial::link);
-        if (l.isPresent()) {
-            if (now - l.get().heardUs > SILENCE_US) {
-                leaveHome("silent");
-                return;
-            }
-            l.get().send(renewal());
-            if (!inOwnZone(homeIp) && now - homePickedUs > RETURN_US) {
-                seekHome(this::inOwnZone, now);
-            }
-        } else if (now - homeSinceUs > REACH_US) {
-            leaveHome("not reached");
-        }
+    private Collection<String> wantedDuties() {
+        return ready && !leaving ? duties.wanted(jobsLive || jobs.busy()) : List.of();
     }
 
-    private void onNews(PeerLinks.Link l, Codec.In in) {
+    private void onNews(PeerLinks.Link link, Codec.In in) {
         var now = Clocks.nowUs();
-        var stamp = in.i64();
-        var up = in.i64();
-        var stale = in.i64();
-        if (isCandidate(l)) {
-            if (stale >= STALE_US) {
-                passOverCandidate("stale by " + stale / 1000 + " ms");
-                return;
-            }
-            takeCandidate();
+        var sentUs = in.i64();
+        var upUs = in.i64();
+        var staleUs = in.i64();
+        if (home.isCandidate(link) && !home.judgeCandidate(staleUs)) {
+            return;
         }
-        var ed = in.i64();
+        var newsEdition = in.i64();
         var digest = in.i32();
-        most = Math.max(most, in.i32());
+        mostEdges = Math.max(mostEdges, in.i32());
         edgesNow = in.i32();
-        most = Math.max(most, edgesNow);
-        var known = in.texts();
-        if (stale < STALE_US) {
-            cores.clear();
-        }
-        cores.addAll(known);
-        dispatcher.onEdges(most);
+        mostEdges = Math.max(mostEdges, edgesNow);
+        home.onCores(in.texts(), staleUs);
+        dispatcher.onEdges(mostEdges);
         jobsLive = in.flag();
         replicaTable.lent(
-                homeIp, stamp + in.i64(), in.list(x -> new ReplicaTable.Leased(x.text(), x.i32())));
-        mismatches = digest == replicaTable.digest() && ed <= edition ? 0 : mismatches + 1;
+                home.ip(),
+                sentUs + in.i64(),
+                in.list(lease -> new ReplicaTable.Leased(lease.text(), lease.i32())));
+        mismatches = digest == replicaTable.digest() && newsEdition <= edition ? 0 : mismatches + 1;
         if (mismatches > 2) {
             mismatches = 0;
-            home.ifPresent(d -> d.send(new Codec.Out(FleetRecords.RESYNC).bytes()));
+            home.requestWholeState();
         }
-        if (stale < STALE_US) {
-            homeSinceUs = now;
-            if (firstNewsUs == 0 && edition > 0) {
-                firstNewsUs = now;
-            }
-        } else if (now - homePickedUs > SETTLE_US) {
-            seekHome(c -> true, now);
+        home.onAge(staleUs, now);
+        if (HomeConnection.isFresh(staleUs) && firstNewsUs == 0 && edition > 0) {
+            firstNewsUs = now;
         }
-        becomeReady(now, up);
+        becomeReady(now, upUs);
     }
 
-    private void becomeReady(long now, long up) {
+    private void becomeReady(long now, long upUs) {
         if (ready || edition <= 0 || revision == 0 || firstNewsUs == 0) {
             return;
         }
-        var t = dispatcher.table();
-        var known = t.services.keySet().stream().allMatch(s -> !replicaTable.of(s).isEmpty());
-        if (known && synced && up > settings.beatMs * 1500L || now - firstNewsUs > 3_000_000) {
+        var table = dispatcher.table();
+        var known =
+                table.services.keySet().stream()
+                        .allMatch(service -> !replicaTable.of(service).isEmpty());
+        if (known && home.synced() && upUs > settings.beatMs * 1500L
+                || now - firstNewsUs > 3_000_000) {
             ready = true;
             readied.complete(true);
             RingLog.say(
@@ -535,54 +314,60 @@
                             + ", "
                             + replicaTable.all().size()
                             + " replicas");
-            renew();
+            home.renew();
         }
     }
 
     private void onConfiguration(Codec.In in) {
-        var ed = in.i64();
-        var rev = in.i64();
+        var newEdition = in.i64();
+        var newRevision = in.i64();
         var routingText = in.text();
-        var ev = in.texts();
+        var evacuated = in.texts();
         var placed = new TreeMap<String, ScaleRunner.Placed>();
         in.list(
-                x ->
+                item ->
                         placed.put(
-                                x.text(),
+                                item.text(),
                                 new ScaleRunner.Placed(
-                                        x.i32(), x.flag(), new TreeSet<>(x.texts()))));
-        if (ed <= edition || rev < revision) {
+                                        item.i32(), item.flag(), new TreeSet<>(item.texts()))));
+        if (newEdition <= edition || newRevision < revision) {
             return;
         }
-        if (rev > revision) {
+        if (newRevision > revision) {
             if (routingText.isEmpty()) {
-                home.ifPresent(d -> d.send(new Codec.Out(FleetRecords.RESYNC).bytes()));
+                home.requestWholeState();
                 return;
             }
             dispatcher.onTable(RoutingLanguage.compile(routingText));
-            revision = rev;
+            revision = newRevision;
         }
-        edition = ed;
-        RingLog.note("configuration edition " + ed + " revision " + rev + " from home " + homeIp);
+        edition = newEdition;
+        RingLog.note(
+                "configuration edition "
+                        + newEdition
+                        + " revision "
+                        + newRevision
+                        + " from home "
+                        + home.ip());
         dispatcher.onPlaced(placed);
         scaler.onPlaced(placed);
-        dispatcher.onEvacuated(Set.copyOf(ev), Clocks.nowUs());
+        dispatcher.onEvacuated(Set.copyOf(evacuated), Clocks.nowUs());
     }
 
     private void onReplicas(Codec.In in) {
         var now = Clocks.nowUs();
         var whole = in.flag();
-        var rs = in.list(x -> FleetRecords.Replica.read(x, now));
-        rs.forEach(dispatcher::onReplica);
+        var replicas = in.list(item -> FleetRecords.Replica.read(item, now));
+        replicas.forEach(dispatcher::onReplica);
         if (whole) {
-            synced = true;
-            var ids = new HashSet<String>();
-            rs.forEach(r -> ids.add(r.id));
-            for (var s : List.copyOf(replicaTable.all())) {
-                if (!ids.contains(s.row.id)
-                        && now - s.heardUs > 10_000_000
-                        && s.attempts.isEmpty()) {
-                    replicaTable.drop(s);
+            home.onSynced();
+            var known = new HashSet<String>();
+            replicas.forEach(replica -> known.add(replica.id));
+            for (var slot : List.copyOf(replicaTable.all())) {
+                if (!known.contains(slot.row.id)
+                        && now - slot.heardUs > 10_000_000
+                        && slot.attempts.isEmpty()) {
+                    replicaTable.drop(slot);
                 }
             }
         }
@@ -594,197 +379,99 @@
         turn++;
         if (RingLog.CHATTY && turn % 50 == 0) {
             RingLog.note(
-                    "overload " + query("overload").replace('\n', ';') + " " + query("counters"));
+                    "overload "
+                            + shell.answer("overload").replace('\n', ';')
+                            + " "
+                            + shell.answer("counters"));
         }
-        home.flatMap(PeerLinks.Dial::link)
-                .ifPresent(l -> load.part(Clocks.nowUs()).ifPresent(l::send));
+        home.link().ifPresent(link -> load.part(Clocks.nowUs()).ifPresent(link::send));
     }
 
     // ---- overload reports
 
     private void onGrant(Codec.In in) {
-        if (!in.text().equals(holder())) {
+        if (!in.text().equals(duties.holder())) {
             return;
         }
-        var key = in.text();
+        var duty = in.text();
         var grant = in.i64();
-        if (duties.granted(key, grant, in.i64(), in.i64(), Clocks.nowUs())
-                && key.equals(jobDuty())) {
+        if (duties.granted(duty, grant, in.i64(), in.i64(), Clocks.nowUs())
+                && duty.equals(duties.jobDuty())) {
             jobs.onGrant(grant);
         }
     }
 
     private void report() {
         var now = Clocks.nowUs();
-        var held = duties.held(now);
-        held.keySet().removeAll(List.of(jobDuty(), scaleDuty()));
-        reporting.tick(held, now);
+        reporting.tick(duties.heldReports(now), now);
     }
 
     /** The home passes a report on to the edges elsewhere, by their homes. */
-    private void tell(Overload.Report r) {
-        var o = new Codec.Out(FleetRecords.REPORT);
-        r.write(o);
-        RingLog.note("report " + r);
-        home.ifPresent(d -> d.send(o.bytes()));
+    private void tell(Overload.Report report) {
+        var out = new Codec.Out(FleetRecords.REPORT);
+        report.write(out);
+        RingLog.note("report " + report);
+        home.send(out.bytes());
     }
 
-    private void onReport(Overload.Report r) {
-        if (!r.region().equals(settings.region)) {
-            dispatcher.reports.take(r, Clocks.nowUs());
+    private void onReport(Overload.Report report) {
+        if (!report.region().equals(settings.region)) {
+            dispatcher.reports.take(report, Clocks.nowUs());
         }
     }
 
     // ---- records
 
     @Override
-    public void onRecord(PeerLinks.Link l, byte[] record) {
+    public void onRecord(PeerLinks.Link link, byte[] record) {
         var in = new Codec.In(record, true);
-        if (isCandidate(l)) {
+        if (home.isCandidate(link)) {
             if (in.type == FleetRecords.NEWS) {
-                onNews(l, in);
+                onNews(link, in);
             }
             return;
         }
-        if (OF_THE_HOME.contains(in.type)
-                && home.flatMap(PeerLinks.Dial::link).filter(h -> h == l).isEmpty()) {
+        if (OF_THE_HOME.contains(in.type) && !home.isHome(link)) {
             RingLog.note(
-                    "link " + l.peer + ": record " + in.type + " is not from the home, dropped");
+                    "link " + link.peer + ": record " + in.type + " is not from the home, dropped");
             return;
         }
         switch (in.type) {
             case FleetRecords.HELLO -> {
-                l.peer = in.text();
-                l.send(new Codec.Out(FleetRecords.HEARD).bytes());
+                link.peer = in.text();
+                link.send(new Codec.Out(FleetRecords.HEARD).bytes());
             }
             case FleetRecords.HEARD -> {}
-            case FleetRecords.NEWS -> onNews(l, in);
+            case FleetRecords.NEWS -> onNews(link, in);
             case FleetRecords.CONFIGURATION -> onConfiguration(in);
             case FleetRecords.REPLICAS -> onReplicas(in);
             case FleetRecords.DUTY_GRANT -> onGrant(in);
             case FleetRecords.JOBS -> onJobs(in);
-            case FleetRecords.ANSWER -> onAnswer(l, in);
+            case FleetRecords.ANSWER -> core.onAnswer(link, in);
             case FleetRecords.WHOLE_SUM -> load.onWhole(in, Clocks.nowUs());
             case FleetRecords.REPORT -> onReport(Overload.Report.read(in));
             case FleetRecords.QUERY ->
-                    l.send(new Codec.Out(FleetRecords.TEXT).text(query(in.text())).bytes());
-            default -> RingLog.note("link " + l.peer + ": unknown record " + in.type);
+                    link.send(
+                            new Codec.Out(FleetRecords.TEXT).text(shell.answer(in.text())).bytes());
+            default -> RingLog.note("link " + link.peer + ": unknown record " + in.type);
         }
     }
 
     @Override
-    public void onClosed(PeerLinks.Link l) {
-        homeRequests.closed(l, "the link to the home closed before an answer");
-        RingLog.note("link " + l.peer + " closed");
+    public void onClosed(PeerLinks.Link link) {
+        core.onClosed(link);
+        RingLog.note("link " + link.peer + " closed");
     }
 
     // ---- the shell
 
-    private String query(String q) {
-        var now = Clocks.nowUs();
-        var b = new StringBuilder();
-        switch (q) {
-            case "counters" -> {
-                var c = dispatcher.counters;
-                b.append(
-                        String.format(
-                                "requests %d served %d refused %d failed %d repeats %d spilled %d"
-                                        + " timeouts %d moved %d jobs %d in-hand %d connections %d"
-                                        + " edges %d\n",
-                                c.requests,
-                                c.served,
-                                c.refused,
-                                c.failed,
-                                c.repeats,
-                                dispatcher.spilled(),
-                                c.timeouts,
-                                c.moved,
-                                c.jobs,
-                                dispatcher.inHand(),
-                                dispatcher.connections(),
-                                dispatcher.edges()));
-            }
-            case "overload" ->
-                    dispatcher
-                            .reports
-                            .states()
-                            .forEach(
-                                    (k, s) -> {
-                                        dispatcher.reports.tick(s, now);
-                                        b.append(
-                                                String.format(
-                                                        "%s %s share %.2f considered %d selected %d"
-                                                            + " spilled %d held %d refused %d stale"
-                                                            + " %d",
-                                                        k,
-                                                        s.phase,
-                                                        s.share,
-                                                        s.considered,
-                                                        s.selected,
-                                                        s.spilled,
-                                                        s.held,
-                                                        s.refused,
-                                                        s.stale));
-                                        s.report.ifPresent(
-                                                r ->
-                                                        b.append(
-                                                                String.format(
-                                                                        " reporter %s sequence"
-                                                                            + " %d.%d valid %d ms"
-                                                                            + " algorithm %s"
-                                                                            + " percent %d",
-                                                                        r.reporter(),
-                                                                        r.seq().grant(),
-                                                                        r.seq().counter(),
-                                                                        Math.max(0, s.untilUs - now)
-                                                                                / 1000,
-                                                                        r.algorithm(),
-                                                                        r.percent())));
-                                        b.append('\n');
-                                    });
-            case "leases" -> b.append(duties.text(now));
-            case "replicas" ->
-                    replicaTable
-                            .all()
-                            .forEach(
-                                    s ->
-                                            b.append(
-                                                    String.format(
-                                                            "%s %s %s in-hand %d others %d unread"
-                                                                + " %d rate %.1f work %d us rtt %d"
-                                                                + " us%s%s\n",
-                                                            s.row.id,
-                                                            s.row.service,
-                                                            s.row.zone,
-                                                            s.mine,
-                                                            s.othersInHand(now),
-                                                            s.unread,
-                                                            s.rate,
-                                                            (long) s.workUs,
-                                                            (long) s.rttUs,
-                                                            s.row.draining ? " draining" : "",
-                                                            now < s.suspectUntilUs
-                                                                    ? " suspect"
-                                                                    : "")));
-            case "configuration" -> b.append(RoutingLanguage.write(dispatcher.table()));
-            case "home" ->
-                    b.append(homeIp)
-                            .append(ready ? " ready" : " not ready")
-                            .append(" edition ")
-                            .append(edition)
-                            .append(" revision ")
-                            .append(revision)
-                            .append('\n');
-            case "jobs" -> b.append(jobs.text());
-            case "scaling" -> b.append(scaler.text(now));
-            case "places" -> b.append(dispatcher.places.text(200));
-            case "traffic" -> b.append(LinkTraffic.text());
-            case "log" -> b.append(RingLog.tail(200));
-            default ->
-                    b.append(
-                            "? counters overload leases replicas configuration home jobs scaling"
-                                    + " places traffic log\n");
-        }
-        return b.toString();
+    private String homeLine() {
+        return home.ip()
+                + (ready ? " ready" : " not ready")
+                + " edition "
+                + edition
+                + " revision "
+                + revision
+                + '\n';
     }
 }
--- a/edge/src/main/java/martenloom/edge/dispatch/RequestDispatcher.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/RequestDispatcher.java
@@ -1,19 +1,15 @@
 package martenloom.edge.dispatch;
 
 import io.activej.eventloop.Eventloop;
-import java.util.Arrays;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Random;
 import java.util.Set;
 import martenloom.common.clock.Clocks;
 import martenloom.common.fleet.FleetRecords;
 import martenloom.common.load.LoadSummary;
-import martenloom.common.log.RingLog;
 import martenloom.common.settings.Settings;
 import martenloom.edge.budget.RetryBudget;
 import martenloom.edge.http.Head;
@@ -29,7 +25,7 @@
  * attempts and their budget are decided here; which replica is the chooser's.
  */
 public final class RequestDispatcher
-        implements ClientConnection.RequestDispatcher, Attempt.Owner, RequestQueues.Owner {
+        implements ClientConnection.RequestDispatcher, RequestQueues.Owner, AttemptResults.Owner {
     private final Eventloop loop;
     private final Settings settings;
     public final ReplicaTable replicaTable;
@@ -39,13 +35,14 @@
     private final Set<ClientConnection> clients = new LinkedHashSet<>();
     private final RequestQueues queues = new RequestQueues(this);
     private final SilenceWatch silence = new SilenceWatch(this::table, this::move);
-    private final Map<Request, Clocks.Timer> deadlines = new HashMap<>();
     private final ReplicaSelector chooser;
     private boolean leaving;
     private final LateRequestPolicy late = new LateRequestPolicy();
     private final long startUs = Clocks.nowUs();
-    private int ticket = new Random().nextInt(1 << 20);
+    private final SpreadCounter spread = new SpreadCounter();
     public final Counters counters = new Counters();
+    private final RequestCompletion completion;
+    private final AttemptResults results;
 
     /** Counts for the shell; plain numbers since the start. */
     public static final class Counters {
@@ -60,30 +57,36 @@
         public long jobs;
     }
 
-    public RequestDispatcher(Eventloop loop, Settings p, ReplicaTable replicaTable) {
+    public RequestDispatcher(Eventloop loop, Settings settings, ReplicaTable replicaTable) {
         this.loop = loop;
-        settings = p;
+        this.settings = settings;
         this.replicaTable = replicaTable;
-        chooser = new ReplicaSelector(p, replicaTable, places, reports);
-        budget = new RetryBudget(p.bounds.retryRatio, p.bounds.retryWindowS, p.bounds.retrySlack);
+        chooser = new ReplicaSelector(settings, replicaTable, places, reports);
+        completion = new RequestCompletion(loop, counters, reports, spread);
+        results = new AttemptResults(loop, replicaTable, completion, late, counters, this);
+        budget =
+                new RetryBudget(
+                        settings.bounds.retryRatio,
+                        settings.bounds.retryWindowS,
+                        settings.bounds.retrySlack);
     }
 
-    // ---- what the office tells
+    // ---- what the core tells
 
-    public void onTable(RouteTable t) {
-        chooser.onTable(t);
+    public void onTable(RouteTable table) {
+        chooser.onTable(table);
     }
 
-    public void onPlaced(Map<String, ScaleRunner.Placed> p) {
-        chooser.onPlaced(p);
+    public void onPlaced(Map<String, ScaleRunner.Placed> placed) {
+        chooser.onPlaced(placed);
     }
 
     public void onEvacuated(Set<String> zones, long now) {
         chooser.onEvacuated(zones, now);
     }
 
-    public void onEdges(int n) {
-        chooser.onEdges(n);
+    public void onEdges(int edges) {
+        chooser.onEdges(edges);
     }
 
     public int edges() {
@@ -120,21 +123,17 @@
      * their way out.
      */
     public boolean holdsAnything() {
-        return deadlines.keySet().stream().anyMatch(e -> e.deferred == 0)
+        return completion.openRequests().stream().anyMatch(request -> request.deferred == 0)
                 || clients.stream().anyMatch(ClientConnection::unsent);
     }
 
     /** Ends all that is in hand: what is not yet answered gets an answer, and streams are cut. */
     public void endAll() {
-        for (var e : List.copyOf(deadlines.keySet())) {
-            if (e.deferred == 0) {
-                endUnfinished(e);
-            }
-        }
+        completion.endAll();
     }
 
     public int inHand() {
-        return deadlines.size();
+        return completion.openRequests().size();
     }
 
     public int connections() {
@@ -142,9 +141,9 @@
     }
 
     public void closeIdle() {
-        for (var r : List.copyOf(clients)) {
-            if (r.idle()) {
-                r.close();
+        for (var client : List.copyOf(clients)) {
+            if (client.idle()) {
+                client.close();
             }
         }
     }
@@ -163,11 +162,14 @@
      * Our requests in flight at models, by region and model: from acceptance to the end, each where
      * it runs, else here.
      */
-    public void inFlight(LoadSummary t) {
-        for (var e : deadlines.keySet()) {
-            var svc = table().services.get(e.service);
-            if (e.deferred == 0 && svc != null && svc.engine) {
-                t.fly(e.attempt.map(l -> l.slot.region).orElse(settings.region) + "/" + svc.model);
+    public void inFlight(LoadSummary sums) {
+        for (var request : completion.openRequests()) {
+            var service = table().services.get(request.service);
+            if (request.deferred == 0 && service != null && service.engine) {
+                sums.fly(
+                        request.attempt.map(attempt -> attempt.slot.region).orElse(settings.region)
+                                + "/"
+                                + service.model);
             }
         }
     }
@@ -175,85 +177,79 @@
     // ---- events from clients
 
     @Override
-    public void onOpened(ClientConnection r) {
-        clients.add(r);
+    public void onOpened(ClientConnection client) {
+        clients.add(client);
         if (clients.size() > (settings.maxFds - 200) / 2) {
-            loop.post(r::close);
+            loop.post(client::close);
         }
     }
 
     @Override
-    public void onGone(ClientConnection r) {
-        clients.remove(r);
-        r.request.ifPresent(
-                e -> {
-                    r.request = Optional.empty();
-                    drop(e);
+    public void onGone(ClientConnection client) {
+        clients.remove(client);
+        client.request.ifPresent(
+                request -> {
+                    client.request = Optional.empty();
+                    completion.drop(request);
                 });
     }
 
-    private void drop(Request e) {
-        if (!e.done()) {
-            var l = e.attempt;
-            finish(e);
-            l.ifPresent(this::letGo);
-        }
-    }
-
-    private void letGo(Attempt l) {
-        uncount(l);
-        l.abandon();
-    }
-
     @Override
-    public void onRequest(ClientConnection r, Head h, byte[] body) {
+    public void onRequest(ClientConnection client, Head head, byte[] body) {
         var now = Clocks.nowUs();
         counters.requests++;
         if (table().revision == 0) {
-            r.whole(
-                    ClientConnection.plain(
-                            503,
-                            String.format(
-                                    Locale.ROOT, "%.2f", Math.max(0.4, 2 - (now - startUs) / 1e6))),
-                    new byte[0]);
+            refuseWithoutTable(client, now);
             return;
         }
-        var q = h.two.indexOf('?');
-        var host = h.get("Host").toLowerCase(Locale.ROOT);
-        var c = host.indexOf(':');
-        var route =
-                table().find(
-                                c < 0 ? host : host.substring(0, c),
-                                q < 0 ? h.two : h.two.substring(0, q));
-        if (route.isEmpty() && c >= 0) {
-            route = table().find(host, q < 0 ? h.two : h.two.substring(0, q));
-        }
+        var route = findRoute(head);
         if (route.isEmpty()) {
-            r.whole(ClientConnection.plain(404, ""), new byte[0]);
+            client.whole(ClientConnection.plain(404, ""), new byte[0]);
             return;
         }
-        var e =
+        var request =
                 new Request(
-                        h,
+                        head,
                         body,
                         route.get(),
-                        route.get().service(ticket += 61),
-                        late.sink(r, route.get(), now),
-                        r.beganUs(),
+                        route.get().service(spread.next(61)),
+                        late.sink(client, route.get(), now),
+                        client.beganUs(),
                         now);
-        r.request = Optional.of(e);
-        budget.request(e.service, now);
-        replicaTable.weigh(e);
-        if (e.deadlineUs <= now + 1000 || late.tooLate(e, now)) {
-            refuse(e, 0.1);
+        client.request = Optional.of(request);
+        budget.request(request.service, now);
+        replicaTable.weigh(request);
+        if (request.deadlineUs <= now + 1000 || late.tooLate(request, now)) {
+            completion.refuse(request, 0.1);
             return;
         }
-        deadlines.put(e, Clocks.after(loop, e.deadlineUs - now, () -> onDeadline(e)));
-        if (!dispatch(e, now)) {
-            enqueue(e, now);
+        completion.open(request, now);
+        if (!dispatch(request, now)) {
+            enqueue(request, now);
         }
     }
 
+    /** Until the first configuration has come, clients are told to come again soon. */
+    private void refuseWithoutTable(ClientConnection client, long now) {
+        var waitS = Math.max(0.4, 2 - (now - startUs) / 1e6);
+        var wait = String.format(Locale.ROOT, "%.2f", waitS);
+        client.whole(ClientConnection.plain(503, wait), new byte[0]);
+    }
+
+    /** The route of a request by its host without the port, else by its host as it stands. */
+    private Optional<RouteTable.Route> findRoute(Head head) {
+        var host = head.get("Host").toLowerCase(Locale.ROOT);
+        var port = host.indexOf(':');
+        var path = path(head);
+        var route = table().find(port < 0 ? host : host.substring(0, port), path);
+        return route.isEmpty() && port >= 0 ? table().find(host, path) : route;
+    }
+
+    private static String path(Head head) {
+        var query = head.two.indexOf('?');
+        return query < 0 ? head.two : head.two.substring(0, query);
+    }
+
     // ---- deferred jobs
 
     /**
@@ -269,87 +265,95 @@
      * before others.
      */
     public Optional<Request> startJob(
-            Head h, byte[] body, Request.Sink sink, int urgency, String lastEvent) {
+            Head head, byte[] body, Request.Sink sink, int urgency, String lastEvent) {
         var now = Clocks.nowUs();
-        var q = h.two.indexOf('?');
-        var route =
-                table().find(
-                                h.get("Host").toLowerCase(Locale.ROOT),
-                                q < 0 ? h.two : h.two.substring(0, q));
+        var route = table().find(head.get("Host").toLowerCase(Locale.ROOT), path(head));
         if (route.isEmpty()) {
             return Optional.empty();
         }
-        var e =
+        var request =
                 new Request(
-                        h, body, route.get(), route.get().service(ticket += 61), sink, now, now);
-        e.deferred = urgency + 1;
-        e.lastEvent = lastEvent;
-        deadlines.put(e, Clocks.after(loop, e.deadlineUs - now, () -> onDeadline(e)));
-        if (!dispatch(e, now)) {
-            finish(e);
+                        head,
+                        body,
+                        route.get(),
+                        route.get().service(spread.next(61)),
+                        sink,
+                        now,
+                        now);
+        request.deferred = urgency + 1;
+        request.lastEvent = lastEvent;
+        completion.open(request, now);
+        if (!dispatch(request, now)) {
+            completion.finish(request);
             return Optional.empty();
         }
         counters.jobs++;
-        return Optional.of(e);
+        return Optional.of(request);
     }
 
-    public void dropJob(Request e) {
-        drop(e);
+    public void dropJob(Request request) {
+        completion.drop(request);
     }
 
     // ---- queue
 
     @Override
-    public long holdUs(Request e) {
-        if (chooser.asleep(e)) {
-            return (e.deadlineUs - e.arrivedUs) / 2;
+    public void refuse(Request request, double waitS) {
+        completion.refuse(request, waitS);
+    }
+
+    @Override
+    public long holdUs(Request request) {
+        if (chooser.asleep(request)) {
+            return (request.deadlineUs - request.arrivedUs) / 2;
         }
-        return Math.min(e.route.aimUs / 5, (e.deadlineUs - e.arrivedUs) / 3);
+        return Math.min(request.route.aimUs / 5, (request.deadlineUs - request.arrivedUs) / 3);
     }
 
-    private void enqueue(Request e, long now) {
-        if (e.deferred > 0) {
-            giveUp(e);
-        } else if (e.sent > 0 && e.mayHaveRun && !e.route.repeatable()) {
-            fail(e, 502);
-        } else if (!queues.add(e)) {
-            refuse(e, 1);
+    @Override
+    public void enqueue(Request request, long now) {
+        if (request.deferred > 0) {
+            completion.giveUp(request);
+        } else if (request.sent > 0 && request.mayHaveRun && !request.route.repeatable()) {
+            completion.fail(request, RequestCompletion.MAY_HAVE_RUN);
+        } else if (!queues.add(request)) {
+            completion.refuse(request, 1);
         }
     }
 
     @Override
-    public boolean dispatch(Request e, long now) {
-        var s = chooser.choose(e, now);
-        if (s.isEmpty()) {
+    public boolean dispatch(Request request, long now) {
+        var chosen = chooser.choose(request, now);
+        if (chosen.isEmpty()) {
             return false;
         }
-        if (e.sent > 0 && !budget.spend(e.service, edges(), now)) {
+        if (request.sent > 0 && !budget.spend(request.service, edges(), now)) {
             return false;
         }
-        var svc = table().services.get(e.service);
-        var slot = s.get();
-        var kept = chooser.keeps(slot, e);
-        var l = new Attempt(e, slot, slot.unread(e, kept), this);
-        l.aheadTokens = slot.unread + slot.othersUnread(now);
-        l.ownTokens = ownTokens(e, slot, kept);
-        e.attempt = Optional.of(l);
-        e.become(
-                e.state() == Request.State.STREAMING
+        var service = table().services.get(request.service);
+        var slot = chosen.get();
+        var kept = chooser.keeps(slot, request);
+        var attempt = new Attempt(request, slot, slot.unread(request, kept), results);
+        attempt.aheadTokens = slot.unread + slot.othersUnread(now);
+        attempt.ownTokens = ownTokens(request, slot, kept);
+        request.attempt = Optional.of(attempt);
+        request.become(
+                request.state() == Request.State.STREAMING
                         ? Request.State.STREAMING
                         : Request.State.RUNNING);
         slot.mine++;
-        slot.unread += l.unread;
-        slot.attempts.add(l);
-        if (e.sent > 0) {
+        slot.unread += attempt.unread;
+        slot.attempts.add(attempt);
+        if (request.sent > 0) {
             counters.repeats++;
         }
-        if (svc != null && svc.engine) {
-            slot.keep(e, svc.cacheTokens);
-            if (e.sharedTokens() >= ReplicaSelector.LARGE) {
-                places.put(ReplicaSelector.sharedPart(e), slot.row.id);
+        if (service != null && service.engine) {
+            slot.keep(request, service.cacheTokens);
+            if (request.sharedTokens() >= ReplicaSelector.LARGE) {
+                places.put(ReplicaSelector.sharedPart(request), slot.row.id);
             }
         }
-        l.start(loop, slot.region.equals(settings.region) ? 400 : 700);
+        attempt.start(loop, slot.region.equals(settings.region) ? 400 : 700);
         return true;
     }
 
@@ -357,314 +361,25 @@
      * Tokens that the replica certainly has to read: all when nobody sent the shared parts there,
      * else the own part.
      */
-    private static int ownTokens(Request e, ReplicaTable.Slot s, boolean kept) {
-        if (e.sizes.isEmpty()) {
-            return e.promptTokens;
+    private static int ownTokens(Request request, ReplicaTable.Slot slot, boolean kept) {
+        if (request.sizes.isEmpty()) {
+            return request.promptTokens;
         }
         var all =
                 !kept
-                        && e.sharedTokens() >= ReplicaSelector.LARGE
-                        && !s.has(ReplicaSelector.sharedPart(e));
+                        && request.sharedTokens() >= ReplicaSelector.LARGE
+                        && !slot.has(ReplicaSelector.sharedPart(request));
         return all
-                ? e.promptTokens
-                : s.has(e.parts.get(e.parts.size() - 1)) ? 0 : e.sizes.get(e.sizes.size() - 1);
-    }
-
-    private void uncount(Attempt l) {
-        if (l.counted) {
-            l.counted = false;
-            l.slot.mine--;
-            l.slot.attempts.remove(l);
-            if (!l.started()) {
-                l.slot.unread -= l.unread;
-            }
-            if (l.slot.attempts.isEmpty()) {
-                l.slot.quietSinceUs = 0;
-            }
-        }
-    }
-
-    // ---- events from attempts
-
-    @Override
-    public void onStreamHead(Attempt l, Head h) {
-        var e = l.request;
-        if (e.done() || e.state() == Request.State.STREAMING) {
-            return;
-        }
-        e.become(Request.State.STREAMING);
-        h.dropHop();
-        e.sink.open(headOnly(h));
-    }
-
-    private static byte[] headOnly(Head h) {
-        var b = h.bytes();
-        return Arrays.copyOf(b, b.length - 2);
-    }
-
-    private void first(Attempt l) {
-        if (l.started()) {
-            return;
-        }
-        l.firstUs = Clocks.nowUs();
-        l.slot.unread -= l.unread;
-        var took = l.firstUs - l.sentUs - l.slot.rttUs - 15_000;
-        if (l.ownTokens > 1500 && l.aheadTokens < 3000 && took > 5_000) {
-            replicaTable.learnRate(l.slot, Math.min(400, l.ownTokens * 1000.0 / took));
-        }
-    }
-
-    @Override
-    public void onEvents(Attempt l, byte[] b, String lastId) {
-        var e = l.request;
-        first(l);
-        if (e.done()) {
-            return;
-        }
-        if (!lastId.isEmpty()) {
-            e.lastEvent = lastId;
-        }
-        e.sink.event(b);
-        if (e.sink.waiting() > 1 << 18) {
-            l.hold(true);
-            resumeWhenRead(l);
-        }
-    }
-
-    private void resumeWhenRead(Attempt l) {
-        Clocks.after(
-                loop,
-                10_000,
-                () -> {
-                    if (l.request.done() || l.request.sink.waiting() < 1 << 16) {
-                        l.hold(false);
-                    } else {
-                        resumeWhenRead(l);
-                    }
-                });
-    }
-
-    @Override
-    public void onStreamEnd(Attempt l, byte[] rest) {
-        uncount(l);
-        var e = l.request;
-        if (e.done()) {
-            return;
-        }
-        var now = Clocks.nowUs();
-        answered(l.slot, true, now);
-        late.onAnswered(e, now);
-        finish(e);
-        counters.served++;
-        e.sink.event(rest);
-        e.sink.end();
-        room();
-    }
-
-    @Override
-    public void onWhole(Attempt l, Head h, byte[] body) {
-        uncount(l);
-        var e = l.request;
-        e.sent++;
-        if (e.done()) {
-            return;
-        }
-        if (e.state() == Request.State.STREAMING) {
-            e.mayHaveRun = true;
-            cutOff(e);
-            return;
-        }
-        var now = Clocks.nowUs();
-        var took = now - l.sentUs;
-        answered(l.slot, h.status() < 500 || h.status() == 504, now);
-        if (h.status() / 100 == 2) {
-            l.slot.workUs += (Math.max(1000, took - l.slot.rttUs) - l.slot.workUs) * 0.05;
-        }
-        if (h.status() >= 500 && e.route.repeatable() && e.sent < e.route.tries) {
-            e.mayHaveRun = true;
-            e.tried.add(l.slot.row.id);
-            again(e);
-            return;
-        }
-        if (promises(h.status()) && !e.route.repeatable()) {
-            e.mayHaveRun = true;
-            fail(e, 502);
-            return;
-        }
-        late.onAnswered(e, now);
-        finish(e);
-        counters.served++;
-        h.dropHop();
-        e.sink.whole(headOnly(h), body);
-        room();
-    }
-
-    /**
-     * Statuses that tell a client that its request was not run: a replica that has run it may not
-     * say so through us.
-     */
-    private static boolean promises(int status) {
-        return status == 408 || status == 429 || status == 503;
-    }
-
-    @Override
-    public void onFailed(Attempt l, Attempt.Failure f, Optional<Head> h) {
-        uncount(l);
-        var e = l.request;
-        var now = Clocks.nowUs();
-        RingLog.note("attempt of " + e.id + " at " + l.slot.row.id + " failed: " + f);
-        var expired = now >= e.deadlineUs - 1000;
-        if (f == Attempt.Failure.UNSENT) {
-            if (!expired) {
-                l.slot.hold(700_000, now);
-            }
-        } else {
-            e.sent++;
-        }
-        if (f == Attempt.Failure.UNRUN) {
-            h.ifPresent(x -> turnedAway(l.slot, x, now));
-        } else if (f != Attempt.Failure.UNSENT) {
-            e.mayHaveRun = true;
-            answered(l.slot, false, now);
-        }
-        if (e.done()) {
-            return;
-        }
-        e.tried.add(l.slot.row.id);
-        e.attempt = Optional.empty();
-        if (f == Attempt.Failure.UNSENT && expired) {
-            onDeadline(e);
-        } else if (f == Attempt.Failure.UNSENT) {
-            e.tried.remove(l.slot.row.id);
-            retryOr(e, now);
-        } else if (f == Attempt.Failure.CUT && !e.route.resumable) {
-            cutOff(e);
-        } else if (f != Attempt.Failure.UNRUN && !e.route.repeatable()) {
-            fail(e, 502);
-        } else if (e.sent >= e.route.tries) {
-            giveUp(e);
-        } else {
-            again(e);
-        }
-    }
-
-    private void answered(ReplicaTable.Slot s, boolean well, long now) {
-        s.health.answered(well, now);
-        if (!well) {
-            replicaTable.judge(s, s.health.ok(now), s.health.bad(now), 0, 0, now);
-        }
-    }
-
-    private static void turnedAway(ReplicaTable.Slot s, Head h, long now) {
-        if (h.status() == 421) {
-            s.suspectUntilUs = now + 1_500_000;
-        } else if (h.status() == 503 || h.status() == 429) {
-            s.fullUntilUs = now + 60_000;
-        }
-    }
-
-    private void again(Request e) {
-        if (e.state() == Request.State.RUNNING) {
-            e.become(Request.State.WAITING);
-        }
-        e.attempt = Optional.empty();
-        retryOr(e, Clocks.nowUs());
-    }
-
-    private void retryOr(Request e, long now) {
-        if (!dispatch(e, now)) {
-            if (e.tried.size() >= replicaTable.of(e.service).size()) {
-                e.tried.clear();
-            }
-            enqueue(e, now);
-        }
-    }
-
-    private void giveUp(Request e) {
-        if (e.state() == Request.State.STREAMING) {
-            cutOff(e);
-        } else if (e.mayHaveRun) {
-            fail(e, 502);
-        } else {
-            refuse(e, 0.3);
-        }
-    }
-
-    // ---- ends
-
-    private void finish(Request e) {
-        e.become(Request.State.DONE);
-        Optional.ofNullable(deadlines.remove(e)).ifPresent(Clocks.Timer::cancel);
-        if (e.sink instanceof ClientConnection r) {
-            r.request = Optional.empty();
-        }
-    }
-
-    @Override
-    public void refuse(Request e, double waitS) {
-        if (e.state() == Request.State.STREAMING) {
-            cutOff(e);
-            return;
-        }
-        if (e.mayHaveRun && !e.route.repeatable()) {
-            fail(e, 502);
-            return;
-        }
-        finish(e);
-        counters.refused++;
-        e.keptAway.forEach(k -> reports.at(k).refused++);
-        e.sink.whole(
-                ClientConnection.plain(
-                        503,
-                        String.format(
-                                Locale.ROOT,
-                                "%.2f",
-                                waitS * (0.75 + Math.floorMod(ticket += 7, 100) / 200.0))),
-                new byte[0]);
-    }
-
-    private void fail(Request e, int status) {
-        if (e.state() == Request.State.STREAMING) {
-            cutOff(e);
-            return;
-        }
-        finish(e);
-        counters.failed++;
-        e.sink.whole(ClientConnection.plain(status, ""), new byte[0]);
-    }
-
-    private void cutOff(Request e) {
-        finish(e);
-        counters.failed++;
-        e.sink.cut();
-    }
-
-    private void onDeadline(Request e) {
-        if (e.done()) {
-            return;
-        }
-        counters.timeouts++;
-        endUnfinished(e);
-    }
-
-    /** A final answer for a request whose time is over: a promise only where it never ran. */
-    private void endUnfinished(Request e) {
-        var l = e.attempt;
-        var sent = l.isPresent() && l.get().state() != Attempt.State.OPENING;
-        e.mayHaveRun |= sent;
-        if (e.state() == Request.State.STREAMING) {
-            cutOff(e);
-        } else if (e.mayHaveRun) {
-            fail(e, 504);
-        } else {
-            refuse(e, 0.3);
-        }
-        l.ifPresent(this::letGo);
+                ? request.promptTokens
+                : slot.has(request.parts.get(request.parts.size() - 1))
+                        ? 0
+                        : request.sizes.get(request.sizes.size() - 1);
     }
 
     private boolean roomPosted;
 
-    private void room() {
+    @Override
+    public void onRoom() {
         if (!roomPosted && queues.anyWaits()) {
             roomPosted = true;
             loop.post(
@@ -681,20 +396,20 @@
     public void tick() {
         var now = Clocks.nowUs();
         queues.drain(now);
-        for (var s : List.copyOf(replicaTable.all())) {
-            silence.check(s, now);
+        for (var slot : List.copyOf(replicaTable.all())) {
+            silence.check(slot, now);
         }
     }
 
     public void sweep() {
         var now = Clocks.nowUs();
-        for (var r : List.copyOf(clients)) {
-            r.check(now);
+        for (var client : List.copyOf(clients)) {
+            client.check(now);
         }
-        for (var s : replicaTable.all()) {
-            for (var w : List.copyOf(s.idle)) {
-                if (!w.usable(now)) {
-                    w.close();
+        for (var slot : replicaTable.all()) {
+            for (var connection : List.copyOf(slot.idle)) {
+                if (!connection.usable(now)) {
+                    connection.close();
                 }
             }
         }
@@ -704,32 +419,32 @@
      * Takes a repeatable request off a replica that has gone quiet, when another replica and the
      * budget allow.
      */
-    private void move(Attempt l, long now) {
-        var e = l.request;
-        if (e.done()
-                || !e.route.repeatable()
-                || l.state() == Attempt.State.OPENING
-                || l.state() == Attempt.State.OVER
-                || e.sent + 1 >= e.route.tries) {
+    private void move(Attempt attempt, long now) {
+        var request = attempt.request;
+        if (request.done()
+                || !request.route.repeatable()
+                || attempt.state() == Attempt.State.OPENING
+                || attempt.state() == Attempt.State.OVER
+                || request.sent + 1 >= request.route.tries) {
             return;
         }
-        if (now - l.sentUs < 150_000) {
+        if (now - attempt.sentUs < 150_000) {
             return;
         }
-        e.sent++;
-        e.tried.add(l.slot.row.id);
-        if (!dispatch(e, now)) {
-            e.sent--;
-            e.attempt = Optional.of(l);
+        request.sent++;
+        request.tried.add(attempt.slot.row.id);
+        if (!dispatch(request, now)) {
+            request.sent--;
+            request.attempt = Optional.of(attempt);
             return;
         }
         counters.moved++;
-        letGo(l);
+        attempt.giveUp();
     }
 
     /** A replica's life ended or its time runs out: what can go on elsewhere does. */
-    public void onReplica(FleetRecords.Replica r) {
-        replicaTable.take(r);
-        replicaTable.slot(r.id).ifPresent(chooser::markResting);
+    public void onReplica(FleetRecords.Replica replica) {
+        replicaTable.take(replica);
+        replicaTable.slot(replica.id).ifPresent(chooser::markResting);
     }
 }
