--- a/core/src/main/java/martenloom/core/CoreDaemon.java
+++ b/core/src/main/java/martenloom/core/CoreDaemon.java
@@ -28,7 +28,6 @@
 import martenloom.common.error.Fault;
 import martenloom.common.fleet.FleetRecords;
 import martenloom.common.jobs.Job;
-import martenloom.common.link.LinkTraffic;
 import martenloom.common.link.PeerLinks;
 import martenloom.common.link.PendingRequests;
 import martenloom.common.load.LoadSummary;
@@ -78,11 +77,6 @@
     /** Without word of a majority for this long, a member may be cut off from the others. */
     private static final long CONTACT_US = 1_200_000;
 
-    /**
-     * An edge renews every 0.4 s; three renewals missed mean that it does not rely on this daemon.
-     */
-    private static final long RELIED_US = 1_200_000;
-
     /**
      * Edges use even shares up to as many edges as sends; homes lend only when there are clearly
      * more, so that no two ways add up.
@@ -97,8 +91,9 @@
     private final Registry registry;
     private final DutyService duties;
     private final PlacementService placement;
+    private final ShellQueries shellQueries;
     private final Map<String, PeerLinks.Dial> dials = new TreeMap<>();
-    private final Map<String, PeerLinks.Link> homes = new LinkedHashMap<>();
+    private final HomeLinks homes = new HomeLinks();
     private final Map<Long, BiConsumer<Integer, String>> localRequests = new HashMap<>();
     private final PendingRequests<PeerLinks.Link> peerRequests =
             new PendingRequests<>(new SecureRandom().nextLong());
@@ -145,6 +140,7 @@
         placement = new PlacementService(p, chain, registry, this::table);
         chain.onSurvey(() -> placement.now().text());
         leave = new OrderlyLeave(loop, p, chain, this::handOver, this::owesAnswers);
+        shellQueries = new ShellQueries(p, chain, registry, placement, homes);
         duties = new DutyService(chain, this::askHere, Clocks::nowUs);
         var known = store.note(MEMO).map(this::remember).orElse(0);
         warm = new ColdSendLeases(Clocks.nowUs(), kept.isEmpty() && p.bootstrap);
@@ -240,8 +236,7 @@
      */
     private boolean acceptsHeartbeats() {
         var now = Clocks.nowUs();
-        return chain.staleUs(now) < CONTACT_US
-                || homes.values().stream().anyMatch(l -> now - l.heardUs < RELIED_US);
+        return chain.staleUs(now) < CONTACT_US || homes.reliedOn(now);
     }
 
     // ---- leaving in order
@@ -419,7 +414,7 @@
         loadSummary.writePlaces(o, LoadAggregator.Way.EDGES);
         own.doubtful().write(o);
         var b = o.bytes();
-        toHomes(
+        homes.forEach(
                 (ip, l) ->
                         l.send(
                                 new Codec.Out(FleetRecords.WHOLE_SUM)
@@ -428,13 +423,6 @@
                                         .bytes()));
     }
 
-    /**
-     * To a copy: a link that is found not to read is closed by the sending, and leaves the homes.
-     */
-    private void toHomes(BiConsumer<String, PeerLinks.Link> s) {
-        List.copyOf(homes.entrySet()).forEach(e -> s.accept(e.getKey(), e.getValue()));
-    }
-
     private long toldVersion = -1;
 
     private void sumTo(Predicate<String> whom, LoadAggregator.Way way, LoadSummary own) {
@@ -488,10 +476,10 @@
                     "a report of " + reporter + " under an older grant of " + duty + " is dropped");
             return;
         }
-        if (l.tag instanceof String ip && homes.get(ip) == l) {
+        if (homes.edgeOf(l).isPresent()) {
             dials.values().forEach(d -> d.send(record));
         }
-        toHomes((ip, h) -> h.send(record));
+        homes.sendAll(record);
     }
 
     // ---- the chain's commands
@@ -532,13 +520,13 @@
             m.state().roster.forEach(this::dial);
             var whole = configuration(m.state(), true);
             var short1 = configuration(m.state(), false);
-            toHomes(
+            homes.forEach(
                     (ip, l) ->
                             l.send(
                                     routesSent.getOrDefault(ip, -1L) == m.state().revision
                                             ? short1
                                             : whole));
-            homes.keySet().forEach(ip -> routesSent.put(ip, m.state().revision));
+            homes.edgeIps().forEach(ip -> routesSent.put(ip, m.state().revision));
         }
     }
 
@@ -672,7 +660,10 @@
             case FleetRecords.DUTY_WANT -> duties.want(in.text(), in.text(), in.i64(), l::send);
             case FleetRecords.DUTY_GRANT -> passGrant(l, record, in);
             case FleetRecords.QUERY ->
-                    l.send(new Codec.Out(FleetRecords.TEXT).text(query(in.text())).bytes());
+                    l.send(
+                            new Codec.Out(FleetRecords.TEXT)
+                                    .text(shellQueries.answer(in.text()))
+                                    .bytes());
             default -> RingLog.note("link " + l.peer + ": unknown record " + t);
         }
     }
@@ -693,7 +684,7 @@
         var changed = registry.pollChanged();
         if (!changed.isEmpty()) {
             var rows = registry.rows(changed, false, now);
-            toHomes((ip, l) -> l.send(rows));
+            homes.sendAll(rows);
         }
     }
 
@@ -706,8 +697,7 @@
         var wants = in.texts();
         var cold = in.texts();
         registry.take(e, true);
-        if (homes.put(e.ip, l) != l) {
-            l.tag = e.ip;
+        if (homes.bind(e.ip, l)) {
             routesSent.remove(e.ip);
             l.send(registry.rows(registry.replicas(), true, now));
         }
@@ -877,8 +867,7 @@
 
     private void want(String key, String holder, long stamp) {
         if (chain.heading()) {
-            Optional.ofNullable(homes.get(ipOf(holder)))
-                    .ifPresent(l -> duties.want(key, holder, stamp, l::send));
+            homes.link(ipOf(holder)).ifPresent(l -> duties.want(key, holder, stamp, l::send));
             return;
         }
         Optional.ofNullable(dials.get(chain.head()))
@@ -910,127 +899,18 @@
                         .filter(h -> h == from)
                         .isPresent();
         if (ofHead && !chain.committed().overtaken(key, in.i64())) {
-            Optional.ofNullable(homes.get(ipOf(holder))).ifPresent(l -> l.send(record));
+            homes.link(ipOf(holder)).ifPresent(l -> l.send(record));
         }
     }
 
     @Override
     public void onClosed(PeerLinks.Link l) {
         peerRequests.closed(l, "the link to " + l.peer + " closed before an answer");
-        if (l.tag instanceof String ip && homes.get(ip) == l) {
-            homes.remove(ip);
-            routesSent.remove(ip);
-            loadSummary.lapse(ip);
-        }
-    }
-
-    // ---- the shell
-
-    private String query(String q) {
-        var now = Clocks.nowUs();
-        var b = new StringBuilder();
-        var words = q.split(" ");
-        if (words.length == 3
-                && words[0].equals("would")
-                && (words[2].equals("unload") || words[2].equals("load"))) {
-            return placement.would(words[1], words[2]);
-        }
-        switch (q) {
-            case "exposure" -> placement.exposure().forEach(f -> b.append(f.text()).append('\n'));
-            case "scaling" ->
-                    chain.committed()
-                            .scales
-                            .forEach(
-                                    (k, x) ->
-                                            b.append(
-                                                    String.format(
-                                                            "%s desired %d%s grant %d resting %s\n",
-                                                            k,
-                                                            x.desired(),
-                                                            x.pinned()
-                                                                    ? " unloaded by the operator"
-                                                                    : "",
-                                                            x.grant(),
-                                                            x.resting())));
-            case "members" ->
-                    registry.members(now)
-                            .forEach(
-                                    e ->
-                                            b.append(
-                                                    String.format(
-                                                            "%s %s %s %s%s revision %d lease-age %d"
-                                                                    + " ms\n",
-                                                            e.ip,
-                                                            e.name,
-                                                            e.zone,
-                                                            e.ready ? "ready" : "not-ready",
-                                                            e.leaving ? " leaving" : "",
-                                                            e.revision,
-                                                            (now - e.heardUs) / 1000)));
-            case "chain" ->
-                    b.append(
-                            String.format(
-                                    "mode %s view %d.%s head %s chain %s stale %d ms\nroster %s\n",
-                                    chain.mode(),
-                                    chain.view().n(),
-                                    chain.view().who(),
-                                    chain.head(),
-                                    chain.chain(),
-                                    chain.staleUs(now) / 1000,
-                                    chain.committed().roster));
-            case "configuration" ->
-                    b.append("revision ")
-                            .append(chain.committed().revision)
-                            .append(" edition ")
-                            .append(chain.committed().edition)
-                            .append('\n')
-                            .append(chain.committed().routingText);
-            case "replicas" ->
-                    registry.replicas()
-                            .forEach(
-                                    r ->
-                                            b.append(
-                                                    String.format(
-                                                            "%s %s %s %s %s seq %d beat-age %d ms"
-                                                                    + " warm-left %d ms\n",
-                                                            r.id,
-                                                            r.service,
-                                                            r.address,
-                                                            r.zone,
-                                                            r.gone
-                                                                    ? "gone"
-                                                                    : r.silent
-                                                                            ? "silent"
-                                                                            : r.draining
-                                                                                    ? "draining"
-                                                                                    : "ready",
-                                                            r.seq,
-                                                            (now - r.heardUs) / 1000,
-                                                            Math.max(0, r.warmAtUs - now) / 1000)));
-            case "evacuations" ->
-                    chain.committed().evacuated.forEach(h -> b.append(h).append('\n'));
-            case "homes" ->
-                    homes.forEach(
-                            (ip, l) ->
-                                    b.append(ip).append(" home ").append(settings.ip).append('\n'));
-            case "leases" ->
-                    chain.committed()
-                            .duties
-                            .forEach(
-                                    (k, d) ->
-                                            b.append(
-                                                    String.format(
-                                                            "%s grant %d holder %s\n",
-                                                            k, d.grant, d.holder)));
-            case "jobs" -> b.append(chain.committed().jobTable.text(chain.jobClockUs(now)));
-            case "traffic" -> b.append(LinkTraffic.text());
-            case "log" -> b.append(RingLog.tail(200));
-            default ->
-                    b.append(
-                            "? members chain configuration replicas evacuations homes leases jobs"
-                                    + " scaling exposure traffic log; would REGION/MODEL"
-                                    + " unload|load\n");
-        }
-        return b.toString();
+        homes.remove(l)
+                .ifPresent(
+                        ip -> {
+                            routesSent.remove(ip);
+                            loadSummary.lapse(ip);
+                        });
     }
 }
--- /dev/null
+++ b/core/src/main/java/martenloom/core/HomeLinks.java
@@ -0,0 +1,75 @@
+package martenloom.core;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import martenloom.common.link.PeerLinks;
+
+/**
+ * The links of the edges that made this daemon their home, one for each edge: the link on which the
+ * edge renewed last. Runs on the reactor thread.
+ */
+final class HomeLinks {
+    /**
+     * An edge renews every 0.4 s; three renewals missed mean that it does not rely on this daemon.
+     */
+    private static final long RELIED_US = 1_200_000;
+
+    private final Map<String, PeerLinks.Link> links = new LinkedHashMap<>();
+
+    /** Makes this the link of an edge; true when it was not already. */
+    boolean bind(String edgeIp, PeerLinks.Link link) {
+        if (links.put(edgeIp, link) == link) {
+            return false;
+        }
+        link.tag = edgeIp;
+        return true;
+    }
+
+    /** Forgets a closed link; returns the edge that has lost its home by that, if any. */
+    Optional<String> remove(PeerLinks.Link link) {
+        var edgeIp = edgeOf(link);
+        edgeIp.ifPresent(links::remove);
+        return edgeIp;
+    }
+
+    /** The edge whose current link this is. */
+    Optional<String> edgeOf(PeerLinks.Link link) {
+        return link.tag instanceof String edgeIp && links.get(edgeIp) == link
+                ? Optional.of(edgeIp)
+                : Optional.empty();
+    }
+
+    Optional<PeerLinks.Link> link(String edgeIp) {
+        return Optional.ofNullable(links.get(edgeIp));
+    }
+
+    Collection<String> edgeIps() {
+        return Set.copyOf(links.keySet());
+    }
+
+    int size() {
+        return links.size();
+    }
+
+    /**
+     * Goes over a copy: a link that is found not to read is closed by the sending, and is removed
+     * meanwhile.
+     */
+    void forEach(BiConsumer<String, PeerLinks.Link> action) {
+        List.copyOf(links.entrySet()).forEach(e -> action.accept(e.getKey(), e.getValue()));
+    }
+
+    void sendAll(byte[] record) {
+        forEach((edgeIp, link) -> link.send(record));
+    }
+
+    /** Whether an edge was heard so lately that it relies on this daemon. */
+    boolean reliedOn(long now) {
+        return links.values().stream().anyMatch(link -> now - link.heardUs < RELIED_US);
+    }
+}
