--- /dev/null
+++ b/core/src/main/java/martenloom/core/CompiledRoutes.java
@@ -0,0 +1,20 @@
+package martenloom.core;
+
+import martenloom.core.state.CoreState;
+import martenloom.routing.language.RoutingLanguage;
+import martenloom.routing.route.RouteTable;
+
+/**
+ * The route table of the state that was asked for last; compiled again only when the revision of
+ * the routing text is another. Runs on the reactor thread.
+ */
+final class CompiledRoutes {
+    private RouteTable table = RouteTable.EMPTY;
+
+    RouteTable of(CoreState state) {
+        if (table.revision != state.revision) {
+            table = RoutingLanguage.compile(state.routingText);
+        }
+        return table;
+    }
+}
--- a/core/src/main/java/martenloom/core/CoreDaemon.java
+++ b/core/src/main/java/martenloom/core/CoreDaemon.java
@@ -9,7 +9,6 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -17,15 +16,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import java.util.TreeMap;
-import java.util.TreeSet;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import martenloom.common.clock.Clocks;
 import martenloom.common.codec.Codec;
-import martenloom.common.error.Fault;
 import martenloom.common.fleet.FleetRecords;
 import martenloom.common.jobs.Job;
 import martenloom.common.link.PeerLinks;
@@ -43,8 +38,6 @@
 import martenloom.core.registry.Registry;
 import martenloom.core.state.CoreState;
 import martenloom.core.storage.VersionedStore;
-import martenloom.routing.language.RoutingLanguage;
-import martenloom.routing.route.RouteTable;
 
 /**
  * The core program: puts the chain, its disk, the registry and the desk on one reactor, and carries
@@ -52,12 +45,10 @@
  * commands are carried out here and nowhere else.
  */
 public final class CoreDaemon implements PeerLinks.Handler {
-    private static final String MEMO = "replicas";
     private static final long TICK_US = 50_000;
     private static final long FLOOD_US = 100_000;
     private static final long DIGEST_US = 500_000;
     private static final long ASK_US = 2_500_000;
-    private static final long SILENCE_US = 2_000_000;
 
     /**
      * How long confirmations are waited for; the replica that asks takes an answer for a second.
@@ -71,9 +62,6 @@
 
     private static final long FLUSH_MS = 300;
 
-    /** A core daemon outside the roster that was not reached for so long is forgotten. */
-    private static final long FORGET_US = 20_000_000;
-
     /** Without word of a majority for this long, a member may be cut off from the others. */
     private static final long CONTACT_US = 1_200_000;
 
@@ -89,19 +77,17 @@
     private final ChainCore chain;
     private final OrderlyLeave leave;
     private final Registry registry;
+    private final FleetMemory memory;
+    private final CorePeers peers;
+    private final CompiledRoutes routes = new CompiledRoutes();
     private final DutyService duties;
     private final PlacementService placement;
     private final ShellQueries shellQueries;
-    private final Map<String, PeerLinks.Dial> dials = new TreeMap<>();
     private final HomeLinks homes = new HomeLinks();
     private final Map<Long, BiConsumer<Integer, String>> localRequests = new HashMap<>();
     private final PendingRequests<PeerLinks.Link> peerRequests =
             new PendingRequests<>(new SecureRandom().nextLong());
     private final long startUs = Clocks.nowUs();
-    private final boolean restored;
-    private int memoDigest;
-    private int mostEdges;
-    private int mostHomes = 1;
     private final LoadAggregator loadSummary = new LoadAggregator();
     private final ColdSendLeases warm;
     private final long life = new SecureRandom().nextLong();
@@ -109,7 +95,6 @@
     private final Map<String, Long> wanted = new HashMap<>();
     private final Map<String, Long> routesSent = new HashMap<>();
     private long localNumber;
-    private int turn;
 
     public CoreDaemon(Settings p, Eventloop loop, VersionedStore.Folder folder) {
         settings = p;
@@ -123,7 +108,7 @@
                             new ChainCore.MemberState(
                                     ChainCore.Ballot.ZERO,
                                     ChainCore.Ballot.ZERO,
-                                    CoreState.founded(seedIps())));
+                                    CoreState.founded(CorePeers.seedIps(settings))));
             store.keep(disk.get().bytes());
         }
         RingLog.note(
@@ -136,39 +121,19 @@
                         p.ip, new SecureRandom().nextLong(), disk, nearness(), Clocks.nowUs());
         chain.onAway(store.awayUs());
         registry = new Registry(p.beatMs * 1000L);
+        memory = new FleetMemory(p, store, registry);
+        peers = new CorePeers(loop, p, chain, memory, this);
         chain.onLeastRoster(2 * Math.max(1, p.tolerateMachines) + 1);
-        placement = new PlacementService(p, chain, registry, this::table);
+        placement = new PlacementService(p, chain, registry, routes::of);
         chain.onSurvey(() -> placement.now().text());
         leave = new OrderlyLeave(loop, p, chain, this::handOver, this::owesAnswers);
         shellQueries = new ShellQueries(p, chain, registry, placement, homes);
         duties = new DutyService(chain, this::askHere, Clocks::nowUs);
-        var known = store.note(MEMO).map(this::remember).orElse(0);
         warm = new ColdSendLeases(Clocks.nowUs(), kept.isEmpty() && p.bootstrap);
-        restored = known > 0;
-        RingLog.note("replicas remembered: " + known);
-    }
-
-    private int remember(byte[] memo) {
-        try {
-            var in = new Codec.In(memo, false);
-            mostEdges = in.i32();
-            mostHomes = Math.max(1, in.i32());
-            return registry.remember(in, Clocks.nowUs(), settings.beatMs * 2000L);
-        } catch (Fault f) {
-            RingLog.wrong("the note of replicas is passed over: " + f.getMessage());
-            return 0;
-        }
     }
 
     private boolean founder() {
-        return seedIps().contains(settings.ip);
-    }
-
-    private List<String> seedIps() {
-        return settings.seeds.stream()
-                .map(s -> s.substring(0, s.lastIndexOf(':')))
-                .distinct()
-                .toList();
+        return CorePeers.seedIps(settings).contains(settings.ip);
     }
 
     /**
@@ -194,9 +159,9 @@
                         this::acceptsHeartbeats,
                         this::handOver,
                         this::tellMajority,
-                        () -> table(chain.committed()),
+                        () -> routes.of(chain.committed()),
                         chain::committed,
-                        this::outside,
+                        peers::regionOutside,
                         this::inTouch);
         var at = new LinkedHashSet<InetSocketAddress>();
         at.add(Settings.address("ControlPlane", settings.need("ControlPlane")));
@@ -214,8 +179,8 @@
                 .withMaxBodySize(16 << 20)
                 .build()
                 .listen();
-        chain.memberState().state.roster.forEach(this::dial);
-        seedIps().forEach(this::dial);
+        peers.dialAll(chain.memberState().state.roster);
+        peers.dialSeeds();
         Clocks.every(loop, TICK_US, this::tick);
         Clocks.every(loop, FLOOD_US, this::flood);
         Clocks.every(loop, DIGEST_US, this::mend);
@@ -225,7 +190,7 @@
 
     public void stop() {
         RingLog.note("core stops");
-        dials.values().forEach(PeerLinks.Dial::stop);
+        peers.stop();
     }
 
     /**
@@ -255,39 +220,11 @@
         return !localRequests.isEmpty() || peerRequests.size() > 0;
     }
 
-    // ---- links to other core daemons
-
-    /** Forgets who is neither in the roster nor a seed and was not reached for a while. */
-    private void forgetGone(long now) {
-        var needed = new TreeSet<>(chain.memberState().state.roster);
-        needed.addAll(chain.committed().roster);
-        needed.addAll(seedIps());
-        for (var ip : List.copyOf(dials.keySet())) {
-            if (needed.contains(ip) || dials.get(ip).link().isPresent()) {
-                reachedUs.put(ip, now);
-            } else if (now - reachedUs.computeIfAbsent(ip, k -> now) > FORGET_US) {
-                dials.remove(ip).stop();
-                reachedUs.remove(ip);
-                regions.remove(ip);
-            }
-        }
-    }
-
-    private final Map<String, Long> reachedUs = new HashMap<>();
-
-    private void dial(String ip) {
-        if (ip.equals(settings.ip) || dials.containsKey(ip)) {
-            return;
-        }
-        var to = Settings.address("peer", ip + ":" + settings.portLow);
-        dials.put(ip, new PeerLinks.Dial(loop, to, 200_000, l -> l.send(hello()), this));
-    }
-
     // ---- time
 
     private void tick() {
         var now = Clocks.nowUs();
-        chain.onKnown(dials.keySet());
+        chain.onKnown(peers.dialed());
         chain.onTick(now);
         carryOut();
         duties.tick(now);
@@ -295,7 +232,7 @@
         carryOut();
         registry.sweep(now);
         tellChanged(now);
-        dials.values().forEach(d -> d.check(SILENCE_US));
+        peers.closeSilent();
     }
 
     /**
@@ -310,7 +247,7 @@
         var news = registry.rowFlood(replica, now);
         var sent = new ArrayList<PendingRequests.RequestId>();
         for (var member : roster) {
-            var link = Optional.ofNullable(dials.get(member)).flatMap(PeerLinks.Dial::link);
+            var link = peers.link(member);
             link.ifPresent(l -> sent.add(sendConfirmed(l, news, () -> receipt.receivedBy(member))));
         }
         flood();
@@ -342,51 +279,20 @@
 
     private void flood() {
         var now = Clocks.nowUs();
-        registry.pollFlood(now).ifPresent(b -> dials.values().forEach(d -> d.send(b)));
+        registry.pollFlood(now).ifPresent(b -> peers.sendAll(b));
         tellChanged(now);
     }
 
     private void mend() {
-        mostEdges = Math.max(mostEdges, registry.members(Clocks.nowUs()).size());
-        mostHomes = Math.max(mostHomes, homesHere());
-        var dg = (registry.noteDigest() * 31 + mostEdges) * 31 + mostHomes;
-        if (dg != memoDigest) {
-            memoDigest = dg;
-            store.noteLater(MEMO, registry.memo(mostEdges, mostHomes, Clocks.nowUs()));
-        }
+        memory.sawEdges(registry.members(Clocks.nowUs()).size());
+        memory.sawHomes(peers.homesInRegion());
+        memory.keep();
         warm.sweep(Clocks.nowUs());
         placement.watch(Clocks.nowUs());
-        var b = registry.digests();
-        var up = dials.values().stream().filter(d -> d.link().isPresent()).toList();
-        if (!up.isEmpty()) {
-            up.get(turn++ % up.size()).send(b);
-        }
-        seedIps().forEach(this::dial);
-        forgetGone(Clocks.nowUs());
-        var beat = hello();
-        dials.values().forEach(d -> d.send(beat));
-    }
-
-    /** Makes us known on a link, at its start and then as a sign of life. */
-    private byte[] hello() {
-        return new Codec.Out(FleetRecords.HELLO)
-                .text(settings.ip)
-                .text(settings.region)
-                .i32(mostEdges)
-                .i64(Clocks.nowUs())
-                .bytes();
-    }
-
-    /** How many core daemons of our region have made themselves known, ourselves with them. */
-    private int homesHere() {
-        return 1
-                + (int)
-                        regions.entrySet().stream()
-                                .filter(
-                                        e ->
-                                                e.getValue().equals(settings.region)
-                                                        && !e.getKey().equals(settings.ip))
-                                .count();
+        peers.sendToNext(registry.digests());
+        peers.dialSeeds();
+        peers.forgetGone(Clocks.nowUs());
+        peers.sendHello();
     }
 
     // ---- sums of load
@@ -396,15 +302,9 @@
         sums++;
         var quiet = sums % QUIET_TURNS == 0;
         var own = loadSummary.own(now);
-        sumTo(
-                d -> settings.region.equals(regions.getOrDefault(d, "")),
-                LoadAggregator.Way.REGION,
-                own);
+        sumTo(peers::ofOurRegion, LoadAggregator.Way.REGION, own);
         if (sums % FAR_TURNS == 0) {
-            sumTo(
-                    d -> !settings.region.equals(regions.getOrDefault(d, "")),
-                    LoadAggregator.Way.FAR,
-                    own);
+            sumTo(d -> !peers.ofOurRegion(d), LoadAggregator.Way.FAR, own);
         }
         if (!quiet && loadSummary.version() == toldVersion && !loadSummary.hasPlaces()) {
             return;
@@ -426,7 +326,7 @@
     private long toldVersion = -1;
 
     private void sumTo(Predicate<String> whom, LoadAggregator.Way way, LoadSummary own) {
-        var to = dials.keySet().stream().filter(whom).toList();
+        var to = peers.dialed().stream().filter(whom).toList();
         if (to.isEmpty()) {
             return;
         }
@@ -435,7 +335,7 @@
                         new Codec.Out(FleetRecords.HOME_SUM).text(settings.ip).i64(life).i64(sums));
         loadSummary.writePlaces(o, way);
         var b = o.bytes();
-        to.forEach(d -> dials.get(d).send(b));
+        to.forEach(d -> peers.send(d, b));
     }
 
     private void onSample(Codec.In in) {
@@ -477,7 +377,7 @@
             return;
         }
         if (homes.edgeOf(l).isPresent()) {
-            dials.values().forEach(d -> d.send(record));
+            peers.sendAll(record);
         }
         homes.sendAll(record);
     }
@@ -492,8 +392,8 @@
 
     private void carryOut(ChainCore.Command c) {
         if (c instanceof ChainCore.Send s) {
-            dial(s.to());
-            Optional.ofNullable(dials.get(s.to())).ifPresent(d -> d.send(s.record()));
+            peers.dial(s.to());
+            peers.send(s.to(), s.record());
         } else if (c instanceof ChainCore.Store s) {
             loop.startExternalTask();
             store.keepLater(
@@ -517,7 +417,7 @@
                             + m.state().revision
                             + " in view "
                             + chain.view());
-            m.state().roster.forEach(this::dial);
+            peers.dialAll(m.state().roster);
             var whole = configuration(m.state(), true);
             var short1 = configuration(m.state(), false);
             homes.forEach(
@@ -582,7 +482,7 @@
             askHere(c, reply);
             return;
         }
-        var link = Optional.ofNullable(dials.get(chain.head())).flatMap(PeerLinks.Dial::link);
+        var link = peers.headLink();
         if (link.isEmpty() || !inTouch()) {
             reply.accept(503, "no head is known at " + settings.ip);
             return;
@@ -617,15 +517,8 @@
         }
         var in = new Codec.In(record, true);
         switch (t) {
-            case FleetRecords.HELLO -> {
-                l.peer = in.text();
-                regions.put(l.peer, in.text());
-                mostEdges = Math.max(mostEdges, in.i32());
-                l.delay.measure(in.i64(), Clocks.nowUs());
-                l.send(new Codec.Out(FleetRecords.HEARD).texts(cores()).bytes());
-                dial(l.peer);
-            }
-            case FleetRecords.HEARD -> in.texts().forEach(this::dial);
+            case FleetRecords.HELLO -> peers.onHello(l, in);
+            case FleetRecords.HEARD -> peers.dialAll(in.texts());
             case FleetRecords.FLOOD -> onFlood(l, in);
             case FleetRecords.FLOOD_CONFIRMED -> {
                 var id = PendingRequests.RequestId.read(in);
@@ -633,11 +526,7 @@
                 answer(l, id, 200, "");
             }
             case FleetRecords.DIGEST ->
-                    registry.mend(in, Clocks.nowUs())
-                            .ifPresent(
-                                    b ->
-                                            Optional.ofNullable(dials.get(l.peer))
-                                                    .ifPresent(d -> d.send(b)));
+                    registry.mend(in, Clocks.nowUs()).ifPresent(b -> peers.send(l.peer, b));
             case FleetRecords.ASK -> {
                 var id = PendingRequests.RequestId.read(in);
                 askHere(CoreState.Change.read(in), (s, x) -> answer(l, id, s, x));
@@ -717,13 +606,13 @@
         var o =
                 new Codec.Out(FleetRecords.NEWS)
                         .i64(stamp)
-                        .i64(now - startUs + (restored ? 10_000_000 : 0))
+                        .i64(now - startUs + (memory.restored() ? 10_000_000 : 0))
                         .i64(leave.begun() ? OrderlyLeave.FAR_TOO_OLD_US : chain.staleUs(now))
                         .i64(s.edition)
                         .i32(registry.edgeDigest())
-                        .i32(mostEdges)
+                        .i32(memory.mostEdges())
                         .i32(registry.members(now).size());
-        o.texts(cores())
+        o.texts(peers.reachable())
                 .flag(
                         s.jobTable.jobs.values().stream()
                                 .anyMatch(j -> j.state.live() && j.region.equals(e.region)));
@@ -737,7 +626,7 @@
         if (!e.region.equals(settings.region) || e.leaving) {
             return m;
         }
-        var t = table(chain.committed());
+        var t = routes.of(chain.committed());
         for (var id : cold) {
             var svc =
                     registry.replica(id)
@@ -746,12 +635,12 @@
                     svc.map(x -> x.coldPerS(settings.bounds.warmOverage, settings.bounds.warmSlack))
                             .orElse(0);
             var n =
-                    mostEdges <= all + LENT_APART
+                    memory.mostEdges() <= all + LENT_APART
                             ? 0
                             : warm.lend(
                                     id,
                                     e.ip,
-                                    all / Math.max(mostHomes, homesHere()),
+                                    all / Math.max(memory.mostHomes(), peers.homesInRegion()),
                                     homes.size(),
                                     now);
             if (n > 0) {
@@ -769,7 +658,7 @@
             return Optional.empty();
         }
         var at = Math.max(s.jobTable.clockUs, chain.jobClockUs(now));
-        var t = table(s);
+        var t = routes.of(s);
         var l =
                 s.jobTable.jobs.values().stream()
                         .filter(j -> j.state.live() && j.region.equals(region))
@@ -793,30 +682,6 @@
                         .bytes());
     }
 
-    private RouteTable tableNow = RouteTable.EMPTY;
-
-    private RouteTable table(CoreState s) {
-        if (tableNow.revision != s.revision) {
-            tableNow = RoutingLanguage.compile(s.routingText);
-        }
-        return tableNow;
-    }
-
-    /**
-     * Whether every member of the roster lies in a region that is allowed, as far as the regions
-     * are known.
-     */
-    private String outside(Set<String> allowed) {
-        for (var m : chain.committed().roster) {
-            var r = m.equals(settings.ip) ? settings.region : regions.getOrDefault(m, "");
-            if (!allowed.contains(r)) {
-                return r.isEmpty() ? "unknown" : r;
-            }
-        }
-        return "";
-    }
-
-    private final Map<String, String> regions = new TreeMap<>();
     private long clockSentUs;
 
     private void jobClock(long now) {
@@ -842,14 +707,6 @@
         handOver(c, (s, t) -> answer(l, id, s, t));
     }
 
-    /** The roster and who is reached beside it: where an edge or a new core daemon may turn to. */
-    private Collection<String> cores() {
-        var c = new TreeSet<>(chain.committed().roster);
-        dials.forEach((ip, d) -> d.link().ifPresent(l -> c.add(ip)));
-        c.add(settings.ip);
-        return c;
-    }
-
     /**
      * The holder's own word goes on always, others' only one in a while: the head needs a
      * candidate, not all of them.
@@ -870,7 +727,7 @@
             homes.link(ipOf(holder)).ifPresent(l -> duties.want(key, holder, stamp, l::send));
             return;
         }
-        Optional.ofNullable(dials.get(chain.head()))
+        peers.headLink()
                 .ifPresent(
                         d ->
                                 d.send(
@@ -893,11 +750,7 @@
     private void passGrant(PeerLinks.Link from, byte[] record, Codec.In in) {
         var holder = in.text();
         var key = in.text();
-        var ofHead =
-                Optional.ofNullable(dials.get(chain.head()))
-                        .flatMap(PeerLinks.Dial::link)
-                        .filter(h -> h == from)
-                        .isPresent();
+        var ofHead = peers.headLink().filter(h -> h == from).isPresent();
         if (ofHead && !chain.committed().overtaken(key, in.i64())) {
             homes.link(ipOf(holder)).ifPresent(l -> l.send(record));
         }
--- /dev/null
+++ b/core/src/main/java/martenloom/core/CorePeers.java
@@ -0,0 +1,206 @@
+package martenloom.core;
+
+import io.activej.eventloop.Eventloop;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import martenloom.common.clock.Clocks;
+import martenloom.common.codec.Codec;
+import martenloom.common.fleet.FleetRecords;
+import martenloom.common.link.PeerLinks;
+import martenloom.common.settings.Settings;
+import martenloom.core.chain.ChainCore;
+
+/**
+ * The outgoing links to the other core daemons, and the region that each has told. There is one
+ * link for each peer; members of the roster and seeds are kept for good, others until they have not
+ * been reached for a while. A record for a peer that is not reached is dropped. Runs on the reactor
+ * thread.
+ */
+final class CorePeers {
+    private static final long REDIAL_US = 200_000;
+    private static final long SILENCE_US = 2_000_000;
+
+    /** A core daemon outside the roster that was not reached for so long is forgotten. */
+    private static final long FORGET_US = 20_000_000;
+
+    private final Eventloop loop;
+    private final Settings settings;
+    private final ChainCore chain;
+    private final FleetMemory memory;
+    private final PeerLinks.Handler handler;
+    private final Map<String, PeerLinks.Dial> dials = new TreeMap<>();
+    private final Map<String, Long> reachedUs = new HashMap<>();
+    private final Map<String, String> regions = new TreeMap<>();
+    private int turn;
+
+    /**
+     * @param handler gets what arrives on the links
+     */
+    CorePeers(
+            Eventloop loop,
+            Settings settings,
+            ChainCore chain,
+            FleetMemory memory,
+            PeerLinks.Handler handler) {
+        this.loop = loop;
+        this.settings = settings;
+        this.chain = chain;
+        this.memory = memory;
+        this.handler = handler;
+    }
+
+    static List<String> seedIps(Settings settings) {
+        return settings.seeds.stream()
+                .map(seed -> seed.substring(0, seed.lastIndexOf(':')))
+                .distinct()
+                .toList();
+    }
+
+    // ---- links
+
+    /** Opens the link to a peer, unless there is one already. */
+    void dial(String ip) {
+        if (ip.equals(settings.ip) || dials.containsKey(ip)) {
+            return;
+        }
+        var address = Settings.address("peer", ip + ":" + settings.portLow);
+        dials.put(
+                ip,
+                new PeerLinks.Dial(loop, address, REDIAL_US, link -> link.send(hello()), handler));
+    }
+
+    void dialAll(Collection<String> ips) {
+        ips.forEach(this::dial);
+    }
+
+    void dialSeeds() {
+        dialAll(seedIps(settings));
+    }
+
+    /** Gives up the links on which nothing was heard for a while; they are opened again. */
+    void closeSilent() {
+        dials.values().forEach(dial -> dial.check(SILENCE_US));
+    }
+
+    /** Forgets who is neither in the roster nor a seed and was not reached for a while. */
+    void forgetGone(long now) {
+        var needed = new TreeSet<>(chain.memberState().state.roster);
+        needed.addAll(chain.committed().roster);
+        needed.addAll(seedIps(settings));
+        for (var ip : List.copyOf(dials.keySet())) {
+            if (needed.contains(ip) || link(ip).isPresent()) {
+                reachedUs.put(ip, now);
+            } else if (now - reachedUs.computeIfAbsent(ip, k -> now) > FORGET_US) {
+                dials.remove(ip).stop();
+                reachedUs.remove(ip);
+                regions.remove(ip);
+            }
+        }
+    }
+
+    void stop() {
+        dials.values().forEach(PeerLinks.Dial::stop);
+    }
+
+    /** The peers that are dialed, whether they are reached or not; follows the changes. */
+    Set<String> dialed() {
+        return Collections.unmodifiableSet(dials.keySet());
+    }
+
+    Optional<PeerLinks.Link> link(String ip) {
+        return Optional.ofNullable(dials.get(ip)).flatMap(PeerLinks.Dial::link);
+    }
+
+    /** The link to the head of the moment. */
+    Optional<PeerLinks.Link> headLink() {
+        return link(chain.head());
+    }
+
+    /** The roster and who is reached beside it: where an edge or a new core daemon may turn to. */
+    Collection<String> reachable() {
+        var ips = new TreeSet<>(chain.committed().roster);
+        dials.forEach((ip, dial) -> dial.link().ifPresent(link -> ips.add(ip)));
+        ips.add(settings.ip);
+        return ips;
+    }
+
+    // ---- sending
+
+    void send(String ip, byte[] record) {
+        link(ip).ifPresent(link -> link.send(record));
+    }
+
+    void sendAll(byte[] record) {
+        dials.values().forEach(dial -> dial.send(record));
+    }
+
+    /** Sends to one of the peers that are reached, each in its turn. */
+    void sendToNext(byte[] record) {
+        var reached = dials.values().stream().filter(dial -> dial.link().isPresent()).toList();
+        if (!reached.isEmpty()) {
+            reached.get(turn++ % reached.size()).send(record);
+        }
+    }
+
+    void sendHello() {
+        sendAll(hello());
+    }
+
+    /** Makes us known on a link, at its start and then as a sign of life. */
+    private byte[] hello() {
+        return new Codec.Out(FleetRecords.HELLO)
+                .text(settings.ip)
+                .text(settings.region)
+                .i32(memory.mostEdges())
+                .i64(Clocks.nowUs())
+                .bytes();
+    }
+
+    /** A peer makes itself known: it is told whom we reach, and is dialed in return. */
+    void onHello(PeerLinks.Link link, Codec.In in) {
+        link.peer = in.text();
+        regions.put(link.peer, in.text());
+        memory.sawEdges(in.i32());
+        link.delay.measure(in.i64(), Clocks.nowUs());
+        link.send(new Codec.Out(FleetRecords.HEARD).texts(reachable()).bytes());
+        dial(link.peer);
+    }
+
+    // ---- regions
+
+    /** Whether a peer has made itself known as one of our region. */
+    boolean ofOurRegion(String ip) {
+        return settings.region.equals(regions.getOrDefault(ip, ""));
+    }
+
+    /** How many core daemons of our region have made themselves known, ourselves with them. */
+    int homesInRegion() {
+        var others =
+                regions.keySet().stream()
+                        .filter(ip -> ofOurRegion(ip) && !ip.equals(settings.ip))
+                        .count();
+        return 1 + (int) others;
+    }
+
+    /**
+     * A region in which a member of the roster lies although it is not allowed; "unknown" when the
+     * region of a member is not known, empty when all lie in allowed regions.
+     */
+    String regionOutside(Set<String> allowed) {
+        for (var member : chain.committed().roster) {
+            var region =
+                    member.equals(settings.ip) ? settings.region : regions.getOrDefault(member, "");
+            if (!allowed.contains(region)) {
+                return region.isEmpty() ? "unknown" : region;
+            }
+        }
+        return "";
+    }
+}
