--- a/core/src/main/java/martenloom/core/CoreDaemon.java
+++ b/core/src/main/java/martenloom/core/CoreDaemon.java
@@ -8,7 +8,6 @@
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -16,15 +15,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 import java.util.function.Predicate;
 import martenloom.common.clock.Clocks;
 import martenloom.common.codec.Codec;
 import martenloom.common.fleet.FleetRecords;
 import martenloom.common.jobs.Job;
 import martenloom.common.link.PeerLinks;
-import martenloom.common.link.PendingRequests;
 import martenloom.common.load.LoadSummary;
 import martenloom.common.log.RingLog;
 import martenloom.common.settings.Settings;
@@ -34,7 +30,6 @@
 import martenloom.core.load.LoadAggregator;
 import martenloom.core.placement.PlacementService;
 import martenloom.core.registry.ColdSendLeases;
-import martenloom.core.registry.MajorityReceipt;
 import martenloom.core.registry.Registry;
 import martenloom.core.state.CoreState;
 import martenloom.core.storage.VersionedStore;
@@ -48,12 +43,6 @@
     private static final long TICK_US = 50_000;
     private static final long FLOOD_US = 100_000;
     private static final long DIGEST_US = 500_000;
-    private static final long ASK_US = 2_500_000;
-
-    /**
-     * How long confirmations are waited for; the replica that asks takes an answer for a second.
-     */
-    private static final long CONFIRM_US = 800_000;
 
     private static final long SUM_US = 100_000;
     private static final int FAR_TURNS = 5;
@@ -79,14 +68,15 @@
     private final Registry registry;
     private final FleetMemory memory;
     private final CorePeers peers;
+    private final PeerRequests peerRequests = new PeerRequests();
+    private final OrderForwarding orders;
+    private final ReplicaNews replicaNews;
+    private final JobClock jobClock;
     private final CompiledRoutes routes = new CompiledRoutes();
     private final DutyService duties;
     private final PlacementService placement;
     private final ShellQueries shellQueries;
     private final HomeLinks homes = new HomeLinks();
-    private final Map<Long, BiConsumer<Integer, String>> localRequests = new HashMap<>();
-    private final PendingRequests<PeerLinks.Link> peerRequests =
-            new PendingRequests<>(new SecureRandom().nextLong());
     private final long startUs = Clocks.nowUs();
     private final LoadAggregator loadSummary = new LoadAggregator();
     private final ColdSendLeases warm;
@@ -94,7 +84,6 @@
     private long sums;
     private final Map<String, Long> wanted = new HashMap<>();
     private final Map<String, Long> routesSent = new HashMap<>();
-    private long localNumber;
 
     public CoreDaemon(Settings p, Eventloop loop, VersionedStore.Folder folder) {
         settings = p;
@@ -123,12 +112,15 @@
         registry = new Registry(p.beatMs * 1000L);
         memory = new FleetMemory(p, store, registry);
         peers = new CorePeers(loop, p, chain, memory, this);
+        orders = new OrderForwarding(loop, p, chain, peers, peerRequests, this::carryOut);
+        replicaNews = new ReplicaNews(loop, p, chain, registry, peers, peerRequests, homes);
+        jobClock = new JobClock(chain, orders);
         chain.onLeastRoster(2 * Math.max(1, p.tolerateMachines) + 1);
         placement = new PlacementService(p, chain, registry, routes::of);
         chain.onSurvey(() -> placement.now().text());
-        leave = new OrderlyLeave(loop, p, chain, this::handOver, this::owesAnswers);
+        leave = new OrderlyLeave(loop, p, chain, orders::handOver, orders::owesAnswers);
         shellQueries = new ShellQueries(p, chain, registry, placement, homes);
-        duties = new DutyService(chain, this::askHere, Clocks::nowUs);
+        duties = new DutyService(chain, orders::askHere, Clocks::nowUs);
         warm = new ColdSendLeases(Clocks.nowUs(), kept.isEmpty() && p.bootstrap);
     }
 
@@ -157,12 +149,12 @@
                         settings,
                         registry,
                         this::acceptsHeartbeats,
-                        this::handOver,
-                        this::tellMajority,
+                        orders::handOver,
+                        replicaNews::tellMajority,
                         () -> routes.of(chain.committed()),
                         chain::committed,
                         peers::regionOutside,
-                        this::inTouch);
+                        orders::inTouch);
         var at = new LinkedHashSet<InetSocketAddress>();
         at.add(Settings.address("ControlPlane", settings.need("ControlPlane")));
         if (settings.listen.containsKey("Directory")) {
@@ -182,7 +174,7 @@
         peers.dialAll(chain.memberState().state.roster);
         peers.dialSeeds();
         Clocks.every(loop, TICK_US, this::tick);
-        Clocks.every(loop, FLOOD_US, this::flood);
+        Clocks.every(loop, FLOOD_US, replicaNews::flood);
         Clocks.every(loop, DIGEST_US, this::mend);
         Clocks.every(loop, SUM_US, this::sum);
         RingLog.say("core " + settings.name + " ready at " + settings.need("ControlPlane"));
@@ -216,10 +208,6 @@
         return inOrder;
     }
 
-    private boolean owesAnswers() {
-        return !localRequests.isEmpty() || peerRequests.size() > 0;
-    }
-
     // ---- time
 
     private void tick() {
@@ -228,68 +216,20 @@
         chain.onTick(now);
         carryOut();
         duties.tick(now);
-        jobClock(now);
+        jobClock.tick(now);
         carryOut();
         registry.sweep(now);
-        tellChanged(now);
+        replicaNews.tellHomes(now);
         peers.closeSilent();
     }
 
-    /**
-     * Tells everybody at once that a replica drains or has ended, and says whether a majority of
-     * the roster confirmed it in time. Those that confirm tell their edges and the other daemons,
-     * so an edge that does not hear of it has lost its home and is about to leave it.
-     */
-    private void tellMajority(String replica, Consumer<Boolean> confirmed) {
-        var now = Clocks.nowUs();
-        var roster = chain.committed().roster;
-        var receipt = new MajorityReceipt(roster, confirmed);
-        var news = registry.rowFlood(replica, now);
-        var sent = new ArrayList<PendingRequests.RequestId>();
-        for (var member : roster) {
-            var link = peers.link(member);
-            link.ifPresent(l -> sent.add(sendConfirmed(l, news, () -> receipt.receivedBy(member))));
-        }
-        flood();
-        receipt.receivedBy(settings.ip);
-        Clocks.after(
-                loop,
-                CONFIRM_US,
-                () -> {
-                    sent.forEach(id -> peerRequests.expire(id, "not confirmed in time"));
-                    receipt.timedOut();
-                });
-    }
-
-    private PendingRequests.RequestId sendConfirmed(
-            PeerLinks.Link link, byte[] flood, Runnable received) {
-        var id =
-                peerRequests.open(
-                        link,
-                        (status, text) -> {
-                            if (status == 200) {
-                                received.run();
-                            }
-                        });
-        var out = new Codec.Out(FleetRecords.FLOOD_CONFIRMED);
-        id.write(out);
-        link.send(out.blob(flood).bytes());
-        return id;
-    }
-
-    private void flood() {
-        var now = Clocks.nowUs();
-        registry.pollFlood(now).ifPresent(b -> peers.sendAll(b));
-        tellChanged(now);
-    }
-
     private void mend() {
         memory.sawEdges(registry.members(Clocks.nowUs()).size());
         memory.sawHomes(peers.homesInRegion());
         memory.keep();
         warm.sweep(Clocks.nowUs());
         placement.watch(Clocks.nowUs());
-        peers.sendToNext(registry.digests());
+        replicaNews.sendDigests();
         peers.dialSeeds();
         peers.forgetGone(Clocks.nowUs());
         peers.sendHello();
@@ -407,8 +347,7 @@
                         loop.completeExternalTask();
                     });
         } else if (c instanceof ChainCore.Answer a) {
-            Optional.ofNullable(localRequests.remove(a.request()))
-                    .ifPresent(r -> r.accept(a.status(), a.text()));
+            orders.onDecided(a);
         } else if (c instanceof ChainCore.Committed m) {
             RingLog.note(
                     "committed edition "
@@ -463,48 +402,6 @@
         routesSent.put(ip, s.revision);
     }
 
-    // ---- requests to the chain
-
-    private void askHere(CoreState.Change c, BiConsumer<Integer, String> reply) {
-        var id = ++localNumber;
-        localRequests.put(id, reply);
-        chain.onAsk(Clocks.nowUs(), id, c);
-        loop.post(this::carryOut);
-    }
-
-    /** Whether this daemon knew of a majority that held together a moment ago. */
-    private boolean inTouch() {
-        return chain.fresh(Clocks.nowUs());
-    }
-
-    private void handOver(CoreState.Change c, BiConsumer<Integer, String> reply) {
-        if (chain.heading()) {
-            askHere(c, reply);
-            return;
-        }
-        var link = peers.headLink();
-        if (link.isEmpty() || !inTouch()) {
-            reply.accept(503, "no head is known at " + settings.ip);
-            return;
-        }
-        var head = link.get();
-        var id = peerRequests.open(head, reply);
-        var o = new Codec.Out(FleetRecords.ASK);
-        id.write(o);
-        c.write(o);
-        head.send(o.bytes());
-        Clocks.after(
-                loop, ASK_US, () -> peerRequests.expire(id, "no reply from the head " + head.peer));
-    }
-
-    /** Answers a request on the link on which it came, under the id that its sender gave it. */
-    private static void answer(
-            PeerLinks.Link l, PendingRequests.RequestId id, int status, String text) {
-        var o = new Codec.Out(FleetRecords.ANSWER);
-        id.write(o);
-        l.send(o.i32(status).text(text).bytes());
-    }
-
     // ---- records
 
     @Override
@@ -519,24 +416,11 @@
         switch (t) {
             case FleetRecords.HELLO -> peers.onHello(l, in);
             case FleetRecords.HEARD -> peers.dialAll(in.texts());
-            case FleetRecords.FLOOD -> onFlood(l, in);
-            case FleetRecords.FLOOD_CONFIRMED -> {
-                var id = PendingRequests.RequestId.read(in);
-                onFlood(l, new Codec.In(in.blob(), true));
-                answer(l, id, 200, "");
-            }
-            case FleetRecords.DIGEST ->
-                    registry.mend(in, Clocks.nowUs()).ifPresent(b -> peers.send(l.peer, b));
-            case FleetRecords.ASK -> {
-                var id = PendingRequests.RequestId.read(in);
-                askHere(CoreState.Change.read(in), (s, x) -> answer(l, id, s, x));
-            }
-            case FleetRecords.ANSWER -> {
-                if (!peerRequests.answered(
-                        PendingRequests.RequestId.read(in), l, in.i32(), in.text())) {
-                    RingLog.note("link " + l.peer + ": an answer to no request of ours is dropped");
-                }
-            }
+            case FleetRecords.FLOOD -> replicaNews.onFlood(l, in);
+            case FleetRecords.FLOOD_CONFIRMED -> replicaNews.onConfirmedFlood(l, in);
+            case FleetRecords.DIGEST -> replicaNews.onDigests(l, in);
+            case FleetRecords.ASK -> orders.onOrder(l, in);
+            case FleetRecords.ANSWER -> peerRequests.onAnswer(l, in);
             case FleetRecords.RENEW -> renew(l, in);
             case FleetRecords.SAMPLE -> onSample(in);
             case FleetRecords.HOME_SUM -> onHomeSum(in);
@@ -545,7 +429,7 @@
                 configurationWhole(l.tag instanceof String ip ? ip : "", l);
                 l.send(registry.rows(registry.replicas(), true, Clocks.nowUs()));
             }
-            case FleetRecords.EDGE_ASK -> edgeAsk(l, in);
+            case FleetRecords.EDGE_ASK -> orders.onEdgeOrder(l, in);
             case FleetRecords.DUTY_WANT -> duties.want(in.text(), in.text(), in.i64(), l::send);
             case FleetRecords.DUTY_GRANT -> passGrant(l, record, in);
             case FleetRecords.QUERY ->
@@ -557,26 +441,6 @@
         }
     }
 
-    /**
-     * Rows from another daemon, as old as their sender says and for as long as they were under way.
-     * Ends are told on at once.
-     */
-    private void onFlood(PeerLinks.Link l, Codec.In in) {
-        var now = Clocks.nowUs();
-        registry.takeFlood(in, now - l.delay.measure(in.i64(), now));
-        if (registry.endsChanged()) {
-            tellChanged(now);
-        }
-    }
-
-    private void tellChanged(long now) {
-        var changed = registry.pollChanged();
-        if (!changed.isEmpty()) {
-            var rows = registry.rows(changed, false, now);
-            homes.sendAll(rows);
-        }
-    }
-
     private void renew(PeerLinks.Link l, Codec.In in) {
         var now = Clocks.nowUs();
         var e = FleetRecords.Edge.read(in, now);
@@ -597,7 +461,7 @@
         jobs(e.region, holder, now).ifPresent(l::send);
         wants.forEach(k -> passWant(k, holder, stamp, now));
         if (e.leaving) {
-            flood();
+            replicaNews.flood();
         }
     }
 
@@ -682,31 +546,6 @@
                         .bytes());
     }
 
-    private long clockSentUs;
-
-    private void jobClock(long now) {
-        if (chain.heading()
-                && chain.committed().jobTable.live() > 0
-                && now - clockSentUs > 4_000_000) {
-            clockSentUs = now;
-            askHere(new CoreState.Change(CoreState.Act.JOB_CLOCK, 0, "", ""), (x, t) -> {});
-        }
-    }
-
-    private void edgeAsk(PeerLinks.Link l, Codec.In in) {
-        var id = PendingRequests.RequestId.read(in);
-        var act = CoreState.Act.valueOf(in.text());
-        var subject = in.text();
-        var fence = in.i64();
-        var version = in.i64();
-        var c = new CoreState.Change(act, fence, subject, in.text()).versioned(version);
-        if (!act.ofRunner()) {
-            answer(l, id, 400, "not for an edge");
-            return;
-        }
-        handOver(c, (s, t) -> answer(l, id, s, t));
-    }
-
     /**
      * The holder's own word goes on always, others' only one in a while: the head needs a
      * candidate, not all of them.
@@ -758,7 +597,7 @@
 
     @Override
     public void onClosed(PeerLinks.Link l) {
-        peerRequests.closed(l, "the link to " + l.peer + " closed before an answer");
+        peerRequests.onClosed(l);
         homes.remove(l)
                 .ifPresent(
                         ip -> {
--- /dev/null
+++ b/core/src/main/java/martenloom/core/OrderForwarding.java
@@ -0,0 +1,118 @@
+package martenloom.core;
+
+import io.activej.eventloop.Eventloop;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import martenloom.common.clock.Clocks;
+import martenloom.common.codec.Codec;
+import martenloom.common.fleet.FleetRecords;
+import martenloom.common.link.PeerLinks;
+import martenloom.common.link.PendingRequests;
+import martenloom.common.settings.Settings;
+import martenloom.core.chain.ChainCore;
+import martenloom.core.state.CoreState;
+
+/**
+ * Hands orders to the head of the chain, here or at another core daemon, and their answers back.
+ * Every caller is answered once; one whose order went to another head is told 503 when no answer
+ * came in time, and does not know then whether the order was carried out. Runs on the reactor
+ * thread.
+ */
+final class OrderForwarding {
+    private static final long ANSWER_US = 2_500_000;
+
+    private final Eventloop loop;
+    private final Settings settings;
+    private final ChainCore chain;
+    private final CorePeers peers;
+    private final PeerRequests peerRequests;
+    private final Runnable carryOut;
+    private final Map<Long, BiConsumer<Integer, String>> localRequests = new HashMap<>();
+    private long lastLocal;
+
+    /**
+     * @param carryOut carries out what the chain commands
+     */
+    OrderForwarding(
+            Eventloop loop,
+            Settings settings,
+            ChainCore chain,
+            CorePeers peers,
+            PeerRequests peerRequests,
+            Runnable carryOut) {
+        this.loop = loop;
+        this.settings = settings;
+        this.chain = chain;
+        this.peers = peers;
+        this.peerRequests = peerRequests;
+        this.carryOut = carryOut;
+    }
+
+    /** Puts an order to the chain of this daemon. */
+    void askHere(CoreState.Change order, BiConsumer<Integer, String> reply) {
+        var id = ++lastLocal;
+        localRequests.put(id, reply);
+        chain.onAsk(Clocks.nowUs(), id, order);
+        loop.post(carryOut);
+    }
+
+    /** Hands an order to the head, wherever it is. */
+    void handOver(CoreState.Change order, BiConsumer<Integer, String> reply) {
+        if (chain.heading()) {
+            askHere(order, reply);
+            return;
+        }
+        var link = peers.headLink();
+        if (link.isEmpty() || !inTouch()) {
+            reply.accept(503, "no head is known at " + settings.ip);
+            return;
+        }
+        var head = link.get();
+        var id = peerRequests.send(head, FleetRecords.ASK, order::write, reply);
+        Clocks.after(
+                loop,
+                ANSWER_US,
+                () -> peerRequests.expire(id, "no reply from the head " + head.peer));
+    }
+
+    /** An order that another core daemon has handed over to this one. */
+    void onOrder(PeerLinks.Link link, Codec.In in) {
+        var id = PendingRequests.RequestId.read(in);
+        askHere(
+                CoreState.Change.read(in),
+                (status, text) -> PeerRequests.answer(link, id, status, text));
+    }
+
+    /** An order of an edge, which may only give those of the runner of jobs. */
+    void onEdgeOrder(PeerLinks.Link link, Codec.In in) {
+        var id = PendingRequests.RequestId.read(in);
+        var act = CoreState.Act.valueOf(in.text());
+        var subject = in.text();
+        var fence = in.i64();
+        var version = in.i64();
+        var order = new CoreState.Change(act, fence, subject, in.text()).versioned(version);
+        if (!act.ofRunner()) {
+            PeerRequests.answer(link, id, 400, "not for an edge");
+            return;
+        }
+        handOver(order, (status, text) -> PeerRequests.answer(link, id, status, text));
+    }
+
+    /** The chain's answer to an order that was put to it here. */
+    void onDecided(ChainCore.Answer answer) {
+        Optional.ofNullable(localRequests.remove(answer.request()))
+                .ifPresent(reply -> reply.accept(answer.status(), answer.text()));
+    }
+
+    /** Whether this daemon knew of a majority that held together a moment ago. */
+    boolean inTouch() {
+        return chain.fresh(Clocks.nowUs());
+    }
+
+    /** Whether callers here still wait for an answer. */
+    boolean owesAnswers() {
+        return !localRequests.isEmpty() || !peerRequests.isEmpty();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/martenloom/core/PeerRequests.java
@@ -0,0 +1,61 @@
+package martenloom.core;
+
+import java.security.SecureRandom;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import martenloom.common.codec.Codec;
+import martenloom.common.fleet.FleetRecords;
+import martenloom.common.link.PeerLinks;
+import martenloom.common.link.PendingRequests;
+import martenloom.common.log.RingLog;
+
+/**
+ * The requests that this daemon has sent to other core daemons, and the answers that go over the
+ * links. Every caller is told exactly once, as {@link PendingRequests} guarantees. Runs on the
+ * reactor thread.
+ */
+final class PeerRequests {
+    private final PendingRequests<PeerLinks.Link> pending =
+            new PendingRequests<>(new SecureRandom().nextLong());
+
+    /** Sends a request: a record of this type with the id of the request before its body. */
+    PendingRequests.RequestId send(
+            PeerLinks.Link link,
+            int recordType,
+            Consumer<Codec.Out> body,
+            BiConsumer<Integer, String> reply) {
+        var id = pending.open(link, reply);
+        var out = new Codec.Out(recordType);
+        id.write(out);
+        body.accept(out);
+        link.send(out.bytes());
+        return id;
+    }
+
+    /** Gives up a request that had no answer in time; does nothing if it was answered. */
+    void expire(PendingRequests.RequestId id, String why) {
+        pending.expire(id, why);
+    }
+
+    void onAnswer(PeerLinks.Link link, Codec.In in) {
+        var id = PendingRequests.RequestId.read(in);
+        if (!pending.answered(id, link, in.i32(), in.text())) {
+            RingLog.note("link " + link.peer + ": an answer to no request of ours is dropped");
+        }
+    }
+
+    void onClosed(PeerLinks.Link link) {
+        pending.closed(link, "the link to " + link.peer + " closed before an answer");
+    }
+
+    boolean isEmpty() {
+        return pending.size() == 0;
+    }
+
+    /** Answers a request on the link on which it came, under the id that its sender gave it. */
+    static void answer(PeerLinks.Link link, PendingRequests.RequestId id, int status, String text) {
+        var out = new Codec.Out(FleetRecords.ANSWER);
+        id.write(out);
+        link.send(out.i32(status).text(text).bytes());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/martenloom/core/ReplicaNews.java
@@ -0,0 +1,134 @@
+package martenloom.core;
+
+import io.activej.eventloop.Eventloop;
+import java.util.ArrayList;
+import java.util.function.Consumer;
+import martenloom.common.clock.Clocks;
+import martenloom.common.codec.Codec;
+import martenloom.common.fleet.FleetRecords;
+import martenloom.common.link.PeerLinks;
+import martenloom.common.link.PendingRequests;
+import martenloom.common.settings.Settings;
+import martenloom.core.chain.ChainCore;
+import martenloom.core.registry.MajorityReceipt;
+import martenloom.core.registry.Registry;
+
+/**
+ * Carries changes of the registry to the other core daemons and to the edges of this home. News
+ * that a replica drains or has ended goes out at once, and is confirmed by a majority of the roster
+ * or reported as unconfirmed. Runs on the reactor thread.
+ */
+final class ReplicaNews {
+    /**
+     * How long confirmations are waited for; the replica that asks takes an answer for a second.
+     */
+    private static final long CONFIRM_US = 800_000;
+
+    private final Eventloop loop;
+    private final Settings settings;
+    private final ChainCore chain;
+    private final Registry registry;
+    private final CorePeers peers;
+    private final PeerRequests peerRequests;
+    private final HomeLinks homes;
+
+    ReplicaNews(
+            Eventloop loop,
+            Settings settings,
+            ChainCore chain,
+            Registry registry,
+            CorePeers peers,
+            PeerRequests peerRequests,
+            HomeLinks homes) {
+        this.loop = loop;
+        this.settings = settings;
+        this.chain = chain;
+        this.registry = registry;
+        this.peers = peers;
+        this.peerRequests = peerRequests;
+        this.homes = homes;
+    }
+
+    /** Sends what has changed since the last flood to all peers and edges. */
+    void flood() {
+        var now = Clocks.nowUs();
+        registry.pollFlood(now).ifPresent(peers::sendAll);
+        tellHomes(now);
+    }
+
+    /** Sends the rows that have changed to the edges of this home. */
+    void tellHomes(long now) {
+        var changed = registry.pollChanged();
+        if (!changed.isEmpty()) {
+            homes.sendAll(registry.rows(changed, false, now));
+        }
+    }
+
+    /**
+     * Tells everybody at once that a replica drains or has ended, and says whether a majority of
+     * the roster confirmed it in time. Those that confirm tell their edges and the other daemons,
+     * so an edge that does not hear of it has lost its home and is about to leave it.
+     */
+    void tellMajority(String replica, Consumer<Boolean> confirmed) {
+        var roster = chain.committed().roster;
+        var receipt = new MajorityReceipt(roster, confirmed);
+        var rows = registry.rowFlood(replica, Clocks.nowUs());
+        var sent = new ArrayList<PendingRequests.RequestId>();
+        for (var member : roster) {
+            peers.link(member)
+                    .map(link -> sendConfirmed(link, rows, () -> receipt.receivedBy(member)))
+                    .ifPresent(sent::add);
+        }
+        flood();
+        receipt.receivedBy(settings.ip);
+        Clocks.after(
+                loop,
+                CONFIRM_US,
+                () -> {
+                    sent.forEach(id -> peerRequests.expire(id, "not confirmed in time"));
+                    receipt.timedOut();
+                });
+    }
+
+    private PendingRequests.RequestId sendConfirmed(
+            PeerLinks.Link link, byte[] rows, Runnable received) {
+        return peerRequests.send(
+                link,
+                FleetRecords.FLOOD_CONFIRMED,
+                out -> out.blob(rows),
+                (status, text) -> {
+                    if (status == 200) {
+                        received.run();
+                    }
+                });
+    }
+
+    /**
+     * Rows from another daemon, as old as their sender says and for as long as they were under way.
+     * Ends are told on at once.
+     */
+    void onFlood(PeerLinks.Link link, Codec.In in) {
+        var now = Clocks.nowUs();
+        registry.takeFlood(in, now - link.delay.measure(in.i64(), now));
+        if (registry.endsChanged()) {
+            tellHomes(now);
+        }
+    }
+
+    /** Rows whose sender waits until they have been taken here. */
+    void onConfirmedFlood(PeerLinks.Link link, Codec.In in) {
+        var id = PendingRequests.RequestId.read(in);
+        onFlood(link, new Codec.In(in.blob(), true));
+        PeerRequests.answer(link, id, 200, "");
+    }
+
+    /** Sends the digests of our rows to one peer, which answers with what we lack. */
+    void sendDigests() {
+        peers.sendToNext(registry.digests());
+    }
+
+    /** Answers the digests of a peer with the rows that differ. */
+    void onDigests(PeerLinks.Link link, Codec.In in) {
+        registry.mend(in, Clocks.nowUs()).ifPresent(rows -> peers.send(link.peer, rows));
+    }
+}
