--- a/core/src/main/java/martenloom/core/CoreDaemon.java
+++ b/core/src/main/java/martenloom/core/CoreDaemon.java
@@ -15,19 +15,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Predicate;
 import martenloom.common.clock.Clocks;
 import martenloom.common.codec.Codec;
 import martenloom.common.fleet.FleetRecords;
 import martenloom.common.jobs.Job;
 import martenloom.common.link.PeerLinks;
-import martenloom.common.load.LoadSummary;
 import martenloom.common.log.RingLog;
 import martenloom.common.settings.Settings;
 import martenloom.core.api.ControlApi;
 import martenloom.core.chain.ChainCore;
 import martenloom.core.duty.DutyService;
-import martenloom.core.load.LoadAggregator;
 import martenloom.core.placement.PlacementService;
 import martenloom.core.registry.ColdSendLeases;
 import martenloom.core.registry.Registry;
@@ -45,8 +42,6 @@
     private static final long DIGEST_US = 500_000;
 
     private static final long SUM_US = 100_000;
-    private static final int FAR_TURNS = 5;
-    private static final int QUIET_TURNS = 5;
     private static final long WANT_US = 350_000;
 
     private static final long FLUSH_MS = 300;
@@ -71,6 +66,7 @@
     private final PeerRequests peerRequests = new PeerRequests();
     private final OrderForwarding orders;
     private final ReplicaNews replicaNews;
+    private final LoadExchange loads;
     private final JobClock jobClock;
     private final CompiledRoutes routes = new CompiledRoutes();
     private final DutyService duties;
@@ -78,10 +74,7 @@
     private final ShellQueries shellQueries;
     private final HomeLinks homes = new HomeLinks();
     private final long startUs = Clocks.nowUs();
-    private final LoadAggregator loadSummary = new LoadAggregator();
     private final ColdSendLeases warm;
-    private final long life = new SecureRandom().nextLong();
-    private long sums;
     private final Map<String, Long> wanted = new HashMap<>();
     private final Map<String, Long> routesSent = new HashMap<>();
 
@@ -115,6 +108,7 @@
         orders = new OrderForwarding(loop, p, chain, peers, peerRequests, this::carryOut);
         replicaNews = new ReplicaNews(loop, p, chain, registry, peers, peerRequests, homes);
         jobClock = new JobClock(chain, orders);
+        loads = new LoadExchange(p, peers, homes);
         chain.onLeastRoster(2 * Math.max(1, p.tolerateMachines) + 1);
         placement = new PlacementService(p, chain, registry, routes::of);
         chain.onSurvey(() -> placement.now().text());
@@ -176,7 +170,7 @@
         Clocks.every(loop, TICK_US, this::tick);
         Clocks.every(loop, FLOOD_US, replicaNews::flood);
         Clocks.every(loop, DIGEST_US, this::mend);
-        Clocks.every(loop, SUM_US, this::sum);
+        Clocks.every(loop, SUM_US, loads::exchange);
         RingLog.say("core " + settings.name + " ready at " + settings.need("ControlPlane"));
     }
 
@@ -235,74 +229,6 @@
         peers.sendHello();
     }
 
-    // ---- sums of load
-
-    private void sum() {
-        var now = Clocks.nowUs();
-        sums++;
-        var quiet = sums % QUIET_TURNS == 0;
-        var own = loadSummary.own(now);
-        sumTo(peers::ofOurRegion, LoadAggregator.Way.REGION, own);
-        if (sums % FAR_TURNS == 0) {
-            sumTo(d -> !peers.ofOurRegion(d), LoadAggregator.Way.FAR, own);
-        }
-        if (!quiet && loadSummary.version() == toldVersion && !loadSummary.hasPlaces()) {
-            return;
-        }
-        toldVersion = loadSummary.version();
-        var o = loadSummary.whole(own, now).write(new Codec.Out());
-        loadSummary.writePlaces(o, LoadAggregator.Way.EDGES);
-        own.doubtful().write(o);
-        var b = o.bytes();
-        homes.forEach(
-                (ip, l) ->
-                        l.send(
-                                new Codec.Out(FleetRecords.WHOLE_SUM)
-                                        .i64(loadSummary.seqOf(ip))
-                                        .raw(b)
-                                        .bytes()));
-    }
-
-    private long toldVersion = -1;
-
-    private void sumTo(Predicate<String> whom, LoadAggregator.Way way, LoadSummary own) {
-        var to = peers.dialed().stream().filter(whom).toList();
-        if (to.isEmpty()) {
-            return;
-        }
-        var o =
-                own.write(
-                        new Codec.Out(FleetRecords.HOME_SUM).text(settings.ip).i64(life).i64(sums));
-        loadSummary.writePlaces(o, way);
-        var b = o.bytes();
-        to.forEach(d -> peers.send(d, b));
-    }
-
-    private void onSample(Codec.In in) {
-        var now = Clocks.nowUs();
-        var ip = in.text();
-        var lf = in.i64();
-        var sq = in.i64();
-        if (loadSummary.take(ip, lf, sq, LoadSummary.read(in), now)) {
-            places(in, true);
-        }
-    }
-
-    private void onHomeSum(Codec.In in) {
-        var ip = in.text();
-        if (loadSummary.takeHome(ip, in.i64(), in.i64(), LoadSummary.read(in), Clocks.nowUs())) {
-            places(in, false);
-        }
-    }
-
-    private void places(Codec.In in, boolean fromEdge) {
-        in.list(
-                x -> {
-                    loadSummary.place(x.text(), x.text(), fromEdge);
-                    return 0;
-                });
-    }
-
     /**
      * A report comes from an edge of ours, then goes to all our edges and to the peers; theirs pass
      * it to their edges only.
@@ -422,8 +348,8 @@
             case FleetRecords.ASK -> orders.onOrder(l, in);
             case FleetRecords.ANSWER -> peerRequests.onAnswer(l, in);
             case FleetRecords.RENEW -> renew(l, in);
-            case FleetRecords.SAMPLE -> onSample(in);
-            case FleetRecords.HOME_SUM -> onHomeSum(in);
+            case FleetRecords.SAMPLE -> loads.onSample(in);
+            case FleetRecords.HOME_SUM -> loads.onHomeSum(in);
             case FleetRecords.REPORT -> onReport(l, record);
             case FleetRecords.RESYNC -> {
                 configurationWhole(l.tag instanceof String ip ? ip : "", l);
@@ -602,7 +528,7 @@
                 .ifPresent(
                         ip -> {
                             routesSent.remove(ip);
-                            loadSummary.lapse(ip);
+                            loads.edgeLost(ip);
                         });
     }
 }
