--- /dev/null
+++ b/core/src/main/java/martenloom/core/DutyRelay.java
@@ -0,0 +1,112 @@
+package martenloom.core;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import martenloom.common.codec.Codec;
+import martenloom.common.fleet.FleetRecords;
+import martenloom.common.link.PeerLinks;
+import martenloom.common.log.RingLog;
+import martenloom.core.chain.ChainCore;
+import martenloom.core.duty.DutyService;
+
+/**
+ * Carries the edges' wishes for duties to the head, its grants back to them, and the reports of
+ * those who hold a duty to all edges. A grant counts only from the head of the moment; grants and
+ * reports under an older grant than is known here are dropped. Runs on the reactor thread.
+ */
+final class DutyRelay {
+    /** Wishes of edges that do not hold the duty are passed on as seldom as this. */
+    private static final long WANT_US = 350_000;
+
+    private final ChainCore chain;
+    private final DutyService duties;
+    private final CorePeers peers;
+    private final HomeLinks homes;
+    private final Map<String, Long> passedUs = new HashMap<>();
+
+    DutyRelay(ChainCore chain, DutyService duties, CorePeers peers, HomeLinks homes) {
+        this.chain = chain;
+        this.duties = duties;
+        this.peers = peers;
+        this.homes = homes;
+    }
+
+    /**
+     * Passes on that an edge wants a duty. The holder's own word goes on always, others' only one
+     * in a while: the head needs a candidate, not all of them.
+     */
+    void passWant(String duty, String holder, long stamp, long now) {
+        if (!holds(duty, holder)) {
+            if (now - passedUs.getOrDefault(duty, 0L) < WANT_US) {
+                return;
+            }
+            passedUs.put(duty, now);
+        }
+        want(duty, holder, stamp);
+    }
+
+    private boolean holds(String duty, String holder) {
+        return Optional.ofNullable(chain.committed().duties.get(duty))
+                .filter(current -> current.holder.equals(holder))
+                .isPresent();
+    }
+
+    private void want(String duty, String holder, long stamp) {
+        if (chain.heading()) {
+            homes.link(ipOf(holder))
+                    .ifPresent(link -> duties.want(duty, holder, stamp, link::send));
+            return;
+        }
+        peers.headLink()
+                .ifPresent(
+                        head ->
+                                head.send(
+                                        new Codec.Out(FleetRecords.DUTY_WANT)
+                                                .text(duty)
+                                                .text(holder)
+                                                .i64(stamp)
+                                                .bytes()));
+    }
+
+    /** Another core daemon passes on that an edge of its own wants a duty. */
+    void onWant(PeerLinks.Link link, Codec.In in) {
+        duties.want(in.text(), in.text(), in.i64(), link::send);
+    }
+
+    /**
+     * A grant counts from the head of the moment, on our link to it, and not when a newer one is
+     * known here.
+     */
+    void onGrant(PeerLinks.Link from, byte[] record, Codec.In in) {
+        var holder = in.text();
+        var duty = in.text();
+        var ofHead = peers.headLink().filter(head -> head == from).isPresent();
+        if (ofHead && !chain.committed().overtaken(duty, in.i64())) {
+            homes.link(ipOf(holder)).ifPresent(link -> link.send(record));
+        }
+    }
+
+    /**
+     * A report comes from an edge of ours, then goes to all our edges and to the peers; theirs pass
+     * it to their edges only.
+     */
+    void onReport(PeerLinks.Link from, byte[] record, Codec.In in) {
+        var duty = in.text() + "/" + in.text();
+        var reporter = in.text();
+        if (chain.committed().overtaken(duty, in.i64())) {
+            RingLog.note(
+                    "a report of " + reporter + " under an older grant of " + duty + " is dropped");
+            return;
+        }
+        if (homes.edgeOf(from).isPresent()) {
+            peers.sendAll(record);
+        }
+        homes.sendAll(record);
+    }
+
+    private static String ipOf(String holder) {
+        var end = holder.indexOf('#');
+        return end < 0 ? holder : holder.substring(0, end);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/martenloom/core/EdgeConfigurations.java
@@ -0,0 +1,77 @@
+package martenloom.core;
+
+import java.util.HashMap;
+import java.util.Map;
+import martenloom.common.clock.Clocks;
+import martenloom.common.codec.Codec;
+import martenloom.common.fleet.FleetRecords;
+import martenloom.common.link.PeerLinks;
+import martenloom.core.chain.ChainCore;
+import martenloom.core.state.CoreState;
+
+/**
+ * Sends the committed configuration to the edges of this home. The routing text goes to an edge
+ * only with a revision that it has not been sent on its link. Runs on the reactor thread.
+ */
+final class EdgeConfigurations {
+    private static final long NEVER_SENT = -1;
+
+    private final ChainCore chain;
+    private final HomeLinks homes;
+    private final Map<String, Long> sentRevision = new HashMap<>();
+
+    EdgeConfigurations(ChainCore chain, HomeLinks homes) {
+        this.chain = chain;
+        this.homes = homes;
+    }
+
+    /** Sends a newly committed state to all edges. */
+    void onCommitted(CoreState state) {
+        var whole = configuration(state, true);
+        var withoutText = configuration(state, false);
+        homes.forEach(
+                (edgeIp, link) -> {
+                    var sent = sentRevision.getOrDefault(edgeIp, NEVER_SENT);
+                    link.send(sent == state.revision ? withoutText : whole);
+                });
+        homes.edgeIps().forEach(edgeIp -> sentRevision.put(edgeIp, state.revision));
+    }
+
+    /**
+     * Sends the whole configuration to one edge. Nothing is handed out as current that may be old:
+     * the edge is told our age with every renewal, and goes elsewhere.
+     */
+    void sendWhole(String edgeIp, PeerLinks.Link link) {
+        if (!chain.fresh(Clocks.nowUs())) {
+            return;
+        }
+        var state = chain.committed();
+        link.send(configuration(state, true));
+        sentRevision.put(edgeIp, state.revision);
+    }
+
+    boolean sentTo(String edgeIp) {
+        return sentRevision.containsKey(edgeIp);
+    }
+
+    /** Forgets what an edge was sent: its link has closed, or is a new one. */
+    void forget(String edgeIp) {
+        sentRevision.remove(edgeIp);
+    }
+
+    private static byte[] configuration(CoreState state, boolean withRoutingText) {
+        return new Codec.Out(FleetRecords.CONFIGURATION)
+                .i64(state.edition)
+                .i64(state.revision)
+                .text(withRoutingText ? state.routingText : "")
+                .texts(state.evacuated)
+                .list(
+                        state.scales.entrySet(),
+                        (out, entry) ->
+                                out.text(entry.getKey())
+                                        .i32(entry.getValue().desired())
+                                        .flag(entry.getValue().pinned())
+                                        .texts(entry.getValue().resting()))
+                .bytes();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/martenloom/core/EdgeNews.java
@@ -0,0 +1,68 @@
+package martenloom.core;
+
+import java.util.List;
+import martenloom.common.codec.Codec;
+import martenloom.common.fleet.FleetRecords;
+import martenloom.core.chain.ChainCore;
+import martenloom.core.registry.ColdSendLeases;
+import martenloom.core.registry.Registry;
+
+/**
+ * The answer to a renewal: how old this daemon and its knowledge are, the editions and digests by
+ * which the edge finds what it lacks, where else it may turn to, and what it may send to cold
+ * replicas. A daemon that leaves says that its knowledge is too old, so that edges choose another
+ * home. Runs on the reactor thread.
+ */
+final class EdgeNews {
+    /** What is added to the age of a daemon that found replicas on its disk. */
+    private static final long RESTORED_AGE_US = 10_000_000;
+
+    private final ChainCore chain;
+    private final Registry registry;
+    private final FleetMemory memory;
+    private final CorePeers peers;
+    private final RegionJobs regionJobs;
+    private final ColdSends coldSends;
+    private final OrderlyLeave leave;
+    private final long startUs;
+
+    /**
+     * @param startUs when this daemon started
+     */
+    EdgeNews(
+            ChainCore chain,
+            Registry registry,
+            FleetMemory memory,
+            CorePeers peers,
+            RegionJobs regionJobs,
+            ColdSends coldSends,
+            OrderlyLeave leave,
+            long startUs) {
+        this.chain = chain;
+        this.registry = registry;
+        this.memory = memory;
+        this.peers = peers;
+        this.regionJobs = regionJobs;
+        this.coldSends = coldSends;
+        this.leave = leave;
+        this.startUs = startUs;
+    }
+
+    byte[] record(FleetRecords.Edge edge, long stamp, List<String> coldReplicas, long now) {
+        return new Codec.Out(FleetRecords.NEWS)
+                .i64(stamp)
+                .i64(now - startUs + (memory.restored() ? RESTORED_AGE_US : 0))
+                .i64(leave.begun() ? OrderlyLeave.FAR_TOO_OLD_US : chain.staleUs(now))
+                .i64(chain.committed().edition)
+                .i32(registry.edgeDigest())
+                .i32(memory.mostEdges())
+                .i32(registry.members(now).size())
+                .texts(peers.reachable())
+                .flag(regionJobs.anyLive(edge.region))
+                .i64(ColdSendLeases.LEASE_US)
+                .list(
+                        coldSends.lend(edge, coldReplicas, now).entrySet(),
+                        (out, lent) -> out.text(lent.getKey()).i32(lent.getValue()))
+                .bytes();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/martenloom/core/EdgeRenewals.java
@@ -0,0 +1,76 @@
+package martenloom.core;
+
+import martenloom.common.codec.Codec;
+import martenloom.common.fleet.FleetRecords;
+import martenloom.common.link.PeerLinks;
+import martenloom.core.registry.Registry;
+
+/**
+ * Takes the renewals of the edges of this home and answers each with news of the fleet and, for the
+ * holder of that duty, the live jobs of its region. An edge that renews on a new link is first sent
+ * all replicas and the whole configuration. Runs on the reactor thread.
+ */
+final class EdgeRenewals {
+    private final Registry registry;
+    private final HomeLinks homes;
+    private final EdgeConfigurations configurations;
+    private final EdgeNews news;
+    private final RegionJobs regionJobs;
+    private final ReplicaNews replicaNews;
+    private final DutyRelay dutyRelay;
+
+    EdgeRenewals(
+            Registry registry,
+            HomeLinks homes,
+            EdgeConfigurations configurations,
+            EdgeNews news,
+            RegionJobs regionJobs,
+            ReplicaNews replicaNews,
+            DutyRelay dutyRelay) {
+        this.registry = registry;
+        this.homes = homes;
+        this.configurations = configurations;
+        this.news = news;
+        this.regionJobs = regionJobs;
+        this.replicaNews = replicaNews;
+        this.dutyRelay = dutyRelay;
+    }
+
+    void onRenew(PeerLinks.Link link, Codec.In in, long now) {
+        var edge = FleetRecords.Edge.read(in, now);
+        var stamp = in.i64();
+        edge.heardUs = now - link.delay.measure(stamp, now);
+        var holder = in.text();
+        var wantedDuties = in.texts();
+        var coldReplicas = in.texts();
+        registry.take(edge, true);
+        welcome(edge.ip, link, now);
+        link.send(news.record(edge, stamp, coldReplicas, now));
+        regionJobs.recordFor(holder, edge.region, now).ifPresent(link::send);
+        wantedDuties.forEach(duty -> dutyRelay.passWant(duty, holder, stamp, now));
+        if (edge.leaving) {
+            replicaNews.flood();
+        }
+    }
+
+    /** Sends an edge what it lacks on this link. */
+    private void welcome(String edgeIp, PeerLinks.Link link, long now) {
+        if (homes.bind(edgeIp, link)) {
+            configurations.forget(edgeIp);
+            sendReplicas(link, now);
+        }
+        if (!configurations.sentTo(edgeIp)) {
+            configurations.sendWhole(edgeIp, link);
+        }
+    }
+
+    /** Sends the whole configuration and all replicas again, at the wish of the edge. */
+    void onResync(PeerLinks.Link link, long now) {
+        configurations.sendWhole(link.tag instanceof String edgeIp ? edgeIp : "", link);
+        sendReplicas(link, now);
+    }
+
+    private void sendReplicas(PeerLinks.Link link, long now) {
+        link.send(registry.rows(registry.replicas(), true, now));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/martenloom/core/RegionJobs.java
@@ -0,0 +1,60 @@
+package martenloom.core;
+
+import java.util.List;
+import java.util.Optional;
+import martenloom.common.codec.Codec;
+import martenloom.common.fleet.FleetRecords;
+import martenloom.common.jobs.Job;
+import martenloom.core.chain.ChainCore;
+import martenloom.core.state.CoreState;
+import martenloom.routing.route.RouteTable;
+
+/**
+ * The live jobs of a region as its edges are told of them. Only the holder of the duty to run them
+ * is given the list; times in it are relative to the clock of the jobs. Runs on the reactor thread.
+ */
+final class RegionJobs {
+    private final ChainCore chain;
+    private final CompiledRoutes routes;
+
+    RegionJobs(ChainCore chain, CompiledRoutes routes) {
+        this.chain = chain;
+        this.routes = routes;
+    }
+
+    boolean anyLive(String region) {
+        return !live(chain.committed(), region).isEmpty();
+    }
+
+    /** The record of the live jobs of a region, when this is the holder of that duty. */
+    Optional<byte[]> recordFor(String holder, String region, long now) {
+        var state = chain.committed();
+        var duty = Optional.ofNullable(state.duties.get("jobs/" + region));
+        if (duty.filter(current -> current.holder.equals(holder)).isEmpty()) {
+            return Optional.empty();
+        }
+        var clockUs = Math.max(state.jobTable.clockUs, chain.jobClockUs(now));
+        var table = routes.of(state);
+        return Optional.of(
+                new Codec.Out(FleetRecords.JOBS)
+                        .list(live(state, region), (out, job) -> writeJob(out, job, clockUs, table))
+                        .bytes());
+    }
+
+    private static List<Job> live(CoreState state, String region) {
+        return state.jobTable.jobs.values().stream()
+                .filter(job -> job.state.live() && job.region.equals(region))
+                .toList();
+    }
+
+    private static void writeJob(Codec.Out out, Job job, long clockUs, RouteTable table) {
+        out.text(job.id)
+                .flag(job.state == Job.State.RUNNING)
+                .i64(job.fence)
+                .i32(job.runs)
+                .i64(job.dueUs - clockUs)
+                .i64(job.dueUs - job.submittedUs)
+                .text(job.prefix())
+                .text(table.find(job.host, job.path).map(route -> route.name).orElse(""));
+    }
+}
