--- a/simulation/src/main/java/martenloom/simulation/TroubleKind.java
+++ b/simulation/src/main/java/martenloom/simulation/TroubleKind.java
@@ -18,6 +18,11 @@
     WIPE,
     /** As many machines as may be lost come back with empty disks, all others lose power. */
     WIPE_AND_POWER_LOSS,
+    /**
+     * A minority is cut off; as it is back, as many others as may be lost lose their state, and the
+     * rest is down for some seconds.
+     */
+    SECOND_LOSS,
     /** A machine comes back and its newest file is not whole. */
     TORN_NEWEST_FILE,
     /** A machine neither hears nor is heard for a while. */
--- a/simulation/src/main/java/martenloom/simulation/Troubles.java
+++ b/simulation/src/main/java/martenloom/simulation/Troubles.java
@@ -1,6 +1,7 @@
 package martenloom.simulation;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -15,6 +16,10 @@
     private static final long BETWEEN_REPLACEMENTS_US = 6_000_000;
     private static final long GRACE_US = 8_000_000;
     private static final int HEAD_EVERY = 3;
+
+    /** Long enough for the others to go on without those that are cut off. */
+    private static final long BEHIND_US = 3_000_000;
+
     private static final int APART_STEPS = 5;
     private static final long APART_US = 1_000_000;
     private static final int STORM_LEAST = 20;
@@ -55,6 +60,7 @@
             case POWER_LOSS_ALL -> all(lastsUs, Loss.UNSYNCED, trouble.choice());
             case WIPE -> world.loseState(address) && kill(address, lastsUs, Loss.DISK);
             case WIPE_AND_POWER_LOSS -> wipeAndPowerLoss(trouble, lastsUs);
+            case SECOND_LOSS -> secondLoss(trouble, lastsUs);
             case TORN_NEWEST_FILE ->
                     world.loseState(address) && kill(address, lastsUs, Loss.NEWEST_FILE);
             case CUT_TOTAL, CUT_LONG -> cut(isolating(address, true, true), lastsUs);
@@ -170,6 +176,33 @@
         return !lost.isEmpty();
     }
 
+    private boolean secondLoss(Trouble trouble, long us) {
+        var order = new ArrayList<>(world.slots());
+        Collections.rotate(order, trouble.slot());
+        var minority = (order.size() - 1) / 2;
+        var behind = order.subList(0, minority);
+        var others = order.subList(minority, order.size());
+        var cutUs = Math.max(BEHIND_US, us);
+        cut(between(behind, others), cutUs);
+        var loss = trouble.choice() % 2 == 0 ? Loss.DISK : Loss.NEWEST_FILE;
+        var awayUs = (1 + trouble.choice() % APART_STEPS) * APART_US;
+        world.agenda().after(cutUs, () -> loseAndStop(others, loss, awayUs));
+        return true;
+    }
+
+    /**
+     * The first ones lose their state, for as long as that is to be borne; the others stay away.
+     */
+    private void loseAndStop(List<String> addresses, Loss loss, long awayUs) {
+        for (var address : addresses) {
+            if (world.machineIfPresent(address).isPresent() && world.loseState(address)) {
+                kill(address, SHORTEST_DOWN_US, loss);
+            } else {
+                kill(address, awayUs, Loss.NOTHING);
+            }
+        }
+    }
+
     private boolean stall(String address, long us) {
         return during(
                 us, () -> world.machine(address).stall(world.agenda().nowUs() + us), () -> {});
@@ -202,12 +235,16 @@
 
     /** Two halves that hear one another only through the machine that is hit. */
     private List<Cut> bridge(Trouble trouble) {
-        var cuts = new ArrayList<Cut>();
         var rest = new ArrayList<>(world.slots());
         rest.remove(trouble.slot());
         var half = rest.size() / 2;
-        for (var a : rest.subList(0, half)) {
-            for (var b : rest.subList(half, rest.size())) {
+        return between(rest.subList(0, half), rest.subList(half, rest.size()));
+    }
+
+    private static List<Cut> between(List<String> ones, List<String> others) {
+        var cuts = new ArrayList<Cut>();
+        for (var a : ones) {
+            for (var b : others) {
                 cuts.add(new Cut(a, b));
                 cuts.add(new Cut(b, a));
             }
