--- a/core/src/main/java/martenloom/core/chain/ViewAgreement.java
+++ b/core/src/main/java/martenloom/core/chain/ViewAgreement.java
@@ -34,6 +34,9 @@
     private static final long AFTER_VAIN_BID_US = 200_000;
     private static final long LEAVER_BIDS_LATER_US = 1_200_000;
 
+    /** So long a bidder rests that found itself outside the newest roster. */
+    private static final long OUTSIDER_RESTS_US = 3_000_000;
+
     /** A promise: what was accepted last, and the state where it came with it. */
     private record Vote(Ballot accepted, long edition, Optional<CoreState> state) {}
 
@@ -305,8 +308,12 @@
         var newest = newest();
         var roster = newest.state.get().roster;
         ask(roster);
+        if (!roster.contains(member.me)) {
+            rest();
+            return;
+        }
         var promises = roster.stream().filter(bid.votes::containsKey).count();
-        if (promises * 2 <= roster.size() || !roster.contains(member.me)) {
+        if (promises * 2 <= roster.size()) {
             return;
         }
         if (bid.majorityUs == 0) {
@@ -318,6 +325,16 @@
         }
     }
 
+    /**
+     * A member that was struck while it was cut off cannot form a view, and each of its bids takes
+     * back the promises that another bidder needs. It rests until a head tells it more, or until
+     * what it found may have been a roster that never came into force.
+     */
+    private void rest() {
+        member.quietUntilUs = member.nowUs + OUTSIDER_RESTS_US;
+        owner.become(Mode.IDLE);
+    }
+
     private void form(Vote newest) {
         var state = newest.state.get();
         member.view = bid.ballot;
--- a/core/src/test/java/martenloom/core/chain/ChainMessageTest.java
+++ b/core/src/test/java/martenloom/core/chain/ChainMessageTest.java
@@ -115,6 +115,24 @@
         assertEquals(List.of("a", "c", "b"), bidder.chain());
     }
 
+    /** Bids that cannot form a view would only take back the promises that another one needs. */
+    @Test
+    void whoFindsItselfOutsideTheNewestRosterStopsBiddingForAWhile() {
+        var kept = new MemberState(FIRST, FIRST, CoreState.founded(List.of("a", "b", "c")));
+        var outsider = new ChainCore("a", 1, Optional.of(kept), Comparator.naturalOrder(), 0);
+        outsider.onTick(2_000_000);
+        carryOutStores(outsider, 2_001_000);
+        var ballot = outsider.memberState().promised;
+        var newer = CoreState.founded(List.of("b", "c", "d")).bytes();
+        var promise = new ChainMessage.Promised(ballot, false, SECOND, 1, newer);
+        outsider.onRecord(2_002_000, "b", bytes(promise));
+        assertEquals(ChainCore.Mode.IDLE, outsider.mode());
+        outsider.onTick(4_900_000);
+        assertEquals(ChainCore.Mode.IDLE, outsider.mode());
+        outsider.onTick(6_500_000);
+        assertEquals(ChainCore.Mode.BIDDING, outsider.mode(), "the roster may never have counted");
+    }
+
     private static byte[] bytes(ChainMessage message) {
         return message.encode().bytes();
     }
