--- a/common/src/main/java/martenloom/common/codec/RecordReader.java
+++ b/common/src/main/java/martenloom/common/codec/RecordReader.java
@@ -16,6 +16,8 @@
  */
 public final class RecordReader {
     private static final String STEP = "read record";
+    private static final int VARINT_BITS = 0x7F;
+    private static final int VARINT_SHIFT = 7;
 
     private final DataInputStream in;
     private final int size;
@@ -74,6 +76,39 @@
         return step(in::readDouble);
     }
 
+    /** A number of 0 or more that was written as a variable number of bytes. */
+    public long varint() {
+        var value = 0L;
+        for (var shift = 0; shift < Long.SIZE - 1; shift += VARINT_SHIFT) {
+            var next = u8();
+            value |= (long) (next & VARINT_BITS) << shift;
+            if (next <= VARINT_BITS) {
+                return value;
+            }
+        }
+        throw new MalformedRecordException(STEP, "type " + type + " has a varint out of bounds");
+    }
+
+    /** A varint that must fit in 32 bits. */
+    public int varint32() {
+        var value = varint();
+        if (value > Integer.MAX_VALUE) {
+            throw new MalformedRecordException(
+                    STEP, "type " + type + " has a varint out of bounds");
+        }
+        return (int) value;
+    }
+
+    /** Text in UTF-8 behind its length as a varint. */
+    public String shortText() {
+        return new String(bytes(boundedCount("length", varint())), StandardCharsets.UTF_8);
+    }
+
+    /** A number of elements as a varint, then each of them. */
+    public <T> List<T> shortList(Function<RecordReader, T> elementReader) {
+        return elements(boundedCount("count", varint()), elementReader);
+    }
+
     /** One byte, 0 or 1. */
     public boolean flag() {
         return step(in::readBoolean);
@@ -86,7 +121,11 @@
 
     /** A length, then as many bytes. */
     public byte[] blob() {
-        var value = new byte[boundedCount("length")];
+        return bytes(boundedCount("length", i32()));
+    }
+
+    private byte[] bytes(int count) {
+        var value = new byte[count];
         step(
                 () -> {
                     in.readFully(value);
@@ -97,7 +136,10 @@
 
     /** A number of elements, then each of them. */
     public <T> List<T> list(Function<RecordReader, T> elementReader) {
-        var count = boundedCount("count");
+        return elements(boundedCount("count", i32()), elementReader);
+    }
+
+    private <T> List<T> elements(int count, Function<RecordReader, T> elementReader) {
         var elements = new ArrayList<T>(count);
         for (var i = 0; i < count; i++) {
             elements.add(elementReader.apply(this));
@@ -111,12 +153,11 @@
     }
 
     /** No length or count in a record can be larger than the record. */
-    private int boundedCount(String what) {
-        var count = i32();
+    private int boundedCount(String what, long count) {
         if (count < 0 || count > size) {
             throw new MalformedRecordException(
                     STEP, "type " + type + " has a " + what + " out of bounds");
         }
-        return count;
+        return (int) count;
     }
 }
--- a/common/src/main/java/martenloom/common/codec/RecordWriter.java
+++ b/common/src/main/java/martenloom/common/codec/RecordWriter.java
@@ -14,6 +14,9 @@
  */
 public final class RecordWriter {
     private static final int INITIAL_BYTES = 128;
+    private static final int VARINT_BITS = 0x7F;
+    private static final int VARINT_CONTINUES = 0x80;
+    private static final int VARINT_SHIFT = 7;
 
     private final ByteArrayOutputStream bytes = new ByteArrayOutputStream(INITIAL_BYTES);
     private final DataOutputStream out = new DataOutputStream(bytes);
@@ -72,6 +75,35 @@
         return step(() -> out.writeDouble(value));
     }
 
+    /**
+     * A number of 0 or more in as few bytes as it needs, seven bits in each, the lowest first; what
+     * is negative is written as 0.
+     */
+    public RecordWriter varint(long value) {
+        return step(
+                () -> {
+                    var rest = Math.max(0, value);
+                    while (rest > VARINT_BITS) {
+                        out.writeByte((int) (rest & VARINT_BITS) | VARINT_CONTINUES);
+                        rest >>>= VARINT_SHIFT;
+                    }
+                    out.writeByte((int) rest);
+                });
+    }
+
+    /** Text in UTF-8 behind its length in bytes as a {@link #varint}. */
+    public RecordWriter shortText(String value) {
+        var encoded = value.getBytes(StandardCharsets.UTF_8);
+        return varint(encoded.length).raw(encoded);
+    }
+
+    /** The number of elements as a {@link #varint}, then each of them. */
+    public <T> RecordWriter shortList(Collection<T> elements, ElementWriter<T> elementWriter) {
+        varint(elements.size());
+        elements.forEach(element -> elementWriter.write(this, element));
+        return this;
+    }
+
     /** One byte, 0 or 1. */
     public RecordWriter flag(boolean value) {
         return step(() -> out.writeBoolean(value));
--- a/common/src/main/java/martenloom/common/fleet/EdgeRecord.java
+++ b/common/src/main/java/martenloom/common/fleet/EdgeRecord.java
@@ -161,6 +161,23 @@
         return edge;
     }
 
+    /** This record as a later renewal that says nothing else makes it. */
+    public EdgeRecord withRenewal(long newSequence, long renewalUs) {
+        var newer = new EdgeRecord();
+        newer.ip = ip;
+        newer.name = name;
+        newer.zone = zone;
+        newer.region = region;
+        newer.frontendAddress = frontendAddress;
+        newer.ready = ready;
+        newer.draining = draining;
+        newer.incarnation = incarnation;
+        newer.configurationRevision = configurationRevision;
+        newer.sequence = newSequence;
+        newer.lastRenewalUs = renewalUs;
+        return newer;
+    }
+
     /** Whether this record replaces another of the same edge. */
     public boolean isNewerThan(EdgeRecord other) {
         return incarnation == other.incarnation
--- a/common/src/main/java/martenloom/common/fleet/RecordType.java
+++ b/common/src/main/java/martenloom/common/fleet/RecordType.java
@@ -33,6 +33,16 @@
     /** Like {@link #REGISTRY_UPDATE}, but its receipt is confirmed by an answer. */
     public static final int CONFIRMED_REGISTRY_UPDATE = 48;
 
+    /**
+     * Between core daemons: rows of the registry that say nothing new, by their keys and numbers
+     * alone. Sent to daemons that have announced {@link #PEER_FEATURES}; others get {@link
+     * #REGISTRY_UPDATE}.
+     */
+    public static final int REGISTRY_LIVENESS = 49;
+
+    /** Follows {@link #HELLO}: what the sender understands beyond the first version. */
+    public static final int PEER_FEATURES = 50;
+
     /** An edge renews its lease with its home. */
     public static final int EDGE_LEASE_RENEWAL = 60;
 
@@ -66,6 +76,15 @@
     /** From a home to its edges: the sum over all homes. */
     public static final int TOTAL_LOAD = 83;
 
+    /**
+     * An edge or a home asks a home for its load as a stream of {@link #LOAD_UPDATE}, which begins
+     * with a snapshot; who has not asked gets {@link #TOTAL_LOAD} or {@link #HOME_LOAD}.
+     */
+    public static final int LOAD_SUBSCRIPTION = 84;
+
+    /** From a home to its subscribers: what has changed in its published load. */
+    public static final int LOAD_UPDATE = 85;
+
     /** A query of the operator's shell. */
     public static final int SHELL_QUERY = 90;
 
--- a/common/src/main/java/martenloom/common/fleet/ReplicaRecord.java
+++ b/common/src/main/java/martenloom/common/fleet/ReplicaRecord.java
@@ -185,6 +185,23 @@
         return replica;
     }
 
+    /** This record as a later heartbeat that says nothing else makes it. */
+    public ReplicaRecord withHeartbeat(long newSequence, long heartbeatUs) {
+        var newer = new ReplicaRecord();
+        newer.id = id;
+        newer.service = service;
+        newer.address = address;
+        newer.zone = zone;
+        newer.capacity = capacity;
+        newer.draining = draining;
+        newer.ended = ended;
+        newer.warmFromUs = warmFromUs;
+        newer.drainDeadlineUs = drainDeadlineUs;
+        newer.sequence = newSequence;
+        newer.lastHeartbeatUs = heartbeatUs;
+        return newer;
+    }
+
     /** Whether this record replaces another of the same replica; the end of a replica is final. */
     public boolean isNewerThan(ReplicaRecord other) {
         return ended != other.ended ? ended : sequence > other.sequence;
--- a/common/src/main/java/martenloom/common/load/LoadSummary.java
+++ b/common/src/main/java/martenloom/common/load/LoadSummary.java
@@ -1,5 +1,8 @@
 package martenloom.common.load;
 
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
@@ -39,6 +42,33 @@
         return inFlightByModel;
     }
 
+    void setEdgeCount(int edgeCount) {
+        this.edgeCount = edgeCount;
+    }
+
+    void setInFlightByModel(Map<String, Integer> counts) {
+        inFlightByModel.clear();
+        inFlightByModel.putAll(counts);
+    }
+
+    /** The loads by replica, all of them other than 0. */
+    public Map<String, ReplicaLoadSummary> replicaLoads() {
+        return Collections.unmodifiableMap(loads);
+    }
+
+    /** Replaces the load of a replica; one of 0 is dropped. */
+    void setReplica(String replica, ReplicaLoadSummary load) {
+        if (load.isZero()) {
+            loads.remove(replica);
+        } else {
+            loads.put(replica, load);
+        }
+    }
+
+    void clearReplicas() {
+        loads.clear();
+    }
+
     /** The load of a replica; all 0 when none is known. */
     public ReplicaLoadSummary replicaLoad(String replica) {
         return loads.getOrDefault(replica, NONE);
@@ -101,6 +131,35 @@
         return suspected;
     }
 
+    /**
+     * Writes who suspects and hears replicas, and their outcomes, of the most suspected replicas at
+     * most so many.
+     */
+    public RecordWriter writeSuspected(RecordWriter out, int maxReplicas) {
+        var suspected = new ArrayList<Map.Entry<String, ReplicaLoadSummary>>();
+        for (var entry : loads.entrySet()) {
+            if (entry.getValue().isSuspected()) {
+                suspected.add(entry);
+            }
+        }
+        suspected.sort(Comparator.comparing(entry -> -entry.getValue().suspicionRank()));
+        return out.shortList(
+                suspected.subList(0, Math.min(maxReplicas, suspected.size())),
+                (writer, entry) -> entry.getValue().writeHealth(writer.shortText(entry.getKey())));
+    }
+
+    /** Reads what {@link #writeSuspected} wrote. */
+    public static LoadSummary readSuspected(RecordReader in) {
+        var suspected = new LoadSummary();
+        in.shortList(
+                reader -> {
+                    var load = suspected.addReplica(reader.shortText(), 0, 0, false);
+                    load.readHealth(reader);
+                    return load;
+                });
+        return suspected;
+    }
+
     /** Writes the summary and returns the writer. */
     public RecordWriter write(RecordWriter out) {
         out.i32(edgeCount)
--- a/common/src/main/java/martenloom/common/load/ReplicaLoadSummary.java
+++ b/common/src/main/java/martenloom/common/load/ReplicaLoadSummary.java
@@ -65,6 +65,17 @@
         this.failures = failures;
     }
 
+    /** A load without suspicions. */
+    static ReplicaLoadSummary of(
+            int inFlight, int pendingPrefillTokens, int successes, int failures) {
+        var load = new ReplicaLoadSummary();
+        load.inFlight = inFlight;
+        load.pendingPrefillTokens = pendingPrefillTokens;
+        load.successes = successes;
+        load.failures = failures;
+        return load;
+    }
+
     /** Adds what one edge has in flight there, and whether that edge suspects the replica. */
     void addFromEdge(int attempts, int prefillTokens, boolean suspecting) {
         inFlight += attempts;
@@ -94,6 +105,11 @@
         return failures > 0 || suspectingEdges > 0;
     }
 
+    /** The larger, the more it matters to others that this replica is suspected. */
+    int suspicionRank() {
+        return suspectingEdges + failures;
+    }
+
     boolean isZero() {
         return inFlight == 0
                 && pendingPrefillTokens == 0
@@ -103,6 +119,19 @@
                 && failures == 0;
     }
 
+    /** Writes everything but attempts and tokens, in as few bytes as the numbers need. */
+    void writeHealth(RecordWriter out) {
+        out.varint(suspectingEdges).varint(hearingEdges).varint(successes).varint(failures);
+    }
+
+    /** Reads what {@link #writeHealth} wrote. */
+    void readHealth(RecordReader in) {
+        suspectingEdges = in.varint32();
+        hearingEdges = in.varint32();
+        successes = in.varint32();
+        failures = in.varint32();
+    }
+
     void write(RecordWriter out) {
         out.i32(inFlight)
                 .i32(pendingPrefillTokens)
--- a/core/src/main/java/martenloom/core/CoreDaemon.java
+++ b/core/src/main/java/martenloom/core/CoreDaemon.java
@@ -116,7 +116,8 @@
         leaseRelay = new LeaseRelay(chain, roleLeases, peers, edges);
         jobClock = new JobClockUpdater(chain, chainDriver);
         updates = new ReplicaUpdatePublisher(registry, peers, edges);
-        load = new LoadPublisher(settings, peers, regions, edges);
+        load = new LoadPublisher(peers, regions, edges);
+        peers.setConnectionListener(load::onPeerConnected);
         synchronizer = new EdgeSynchronizer(registry, edges, configurations);
         warmupPermits = new WarmupPermits(Clocks.nowUs(), firstStart);
         edgeLeases = edgeLeases(startedUs, routes);
@@ -242,6 +243,8 @@
         switch (type) {
             case RecordType.HELLO -> peers.onHello(link, in);
             case RecordType.KNOWN_PEERS -> peers.dialAll(in.texts());
+            case RecordType.PEER_FEATURES -> peers.onFeatures(link, in);
+            case RecordType.REGISTRY_LIVENESS -> updates.onLiveness(link, in);
             case RecordType.REGISTRY_UPDATE -> updates.onUpdate(link, in);
             case RecordType.CONFIRMED_REGISTRY_UPDATE -> updates.onConfirmedUpdate(link, in);
             case RecordType.REGISTRY_DIGEST -> updates.onDigests(link, in);
@@ -249,7 +252,9 @@
             case RecordType.ORDER_RESPONSE -> peerRequests.onAnswer(link, in);
             case RecordType.EDGE_LEASE_RENEWAL -> edgeLeases.onRenewal(link, in, Clocks.nowUs());
             case RecordType.LOAD_SAMPLE -> load.onEdgeSample(in);
-            case RecordType.HOME_LOAD -> load.onHomeSum(in);
+            case RecordType.HOME_LOAD -> load.onHomeSum(link, in);
+            case RecordType.LOAD_SUBSCRIPTION -> load.onSubscription(link);
+            case RecordType.LOAD_UPDATE -> load.onHomeUpdate(link, in);
             case RecordType.OVERLOAD_REPORT -> leaseRelay.onReport(link, record, in);
             case RecordType.RESYNC_REQUEST -> synchronizer.onResyncRequest(link, Clocks.nowUs());
             case RecordType.EDGE_REQUEST -> forwarder.onEdgeCommand(link, in);
@@ -270,6 +275,7 @@
     @Override
     public void onClosed(PeerLink link) {
         peerRequests.onClosed(link);
+        peers.onClosed(link);
         edges.remove(link).ifPresent(this::onEdgeLost);
     }
 
--- a/core/src/main/java/martenloom/core/peer/CorePeerLinks.java
+++ b/core/src/main/java/martenloom/core/peer/CorePeerLinks.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Consumer;
 import martenloom.common.clock.Clocks;
 import martenloom.common.codec.RecordReader;
 import martenloom.common.codec.RecordWriter;
@@ -29,6 +30,9 @@
  * record and answer it with the peers that they know. Runs on the reactor thread.
  */
 public final class CorePeerLinks {
+    /** The feature by which a peer says that it reads REGISTRY_LIVENESS. */
+    private static final int SHORT_FORMS = 1;
+
     private static final long REDIAL_US = 200_000;
 
     /** A link on which nothing was heard for so long is closed and opened again. */
@@ -48,6 +52,11 @@
     /** When each peer was last found reached or needed. */
     private final Map<String, Long> reachedUs = new HashMap<>();
 
+    /** The incoming link of each peer that reads the short forms of records. */
+    private final Map<String, PeerLink> shortFormLinks = new HashMap<>();
+
+    private Consumer<String> connectionListener = ip -> {};
+
     /** How many times one peer was chosen in turn. */
     private int turns;
 
@@ -85,7 +94,35 @@
         links.put(
                 ip,
                 new OutgoingPeerLink(
-                        loop, address, REDIAL_US, link -> link.send(hello()), handler));
+                        loop, address, REDIAL_US, link -> onConnected(ip, link), handler));
+    }
+
+    private void onConnected(String ip, PeerLink link) {
+        link.send(hello());
+        link.send(new RecordWriter(RecordType.PEER_FEATURES).varint(SHORT_FORMS).bytes());
+        connectionListener.accept(ip);
+    }
+
+    /** Sets what is told of each peer whose outgoing link has come up. */
+    public void setConnectionListener(Consumer<String> listener) {
+        connectionListener = listener;
+    }
+
+    /** A peer tells what it reads beyond the first version. */
+    public void onFeatures(PeerLink link, RecordReader in) {
+        if ((in.varint() & SHORT_FORMS) != 0) {
+            shortFormLinks.put(link.peer(), link);
+        }
+    }
+
+    /** A link has closed: the daemon that comes next at this address may be an older one. */
+    public void onClosed(PeerLink link) {
+        shortFormLinks.remove(link.peer(), link);
+    }
+
+    /** Whether a peer reads the records in which unchanged rows are left out. */
+    public boolean readsShortForms(String ip) {
+        return shortFormLinks.containsKey(ip);
     }
 
     /** Opens the links to several peers. */
--- a/core/src/main/java/martenloom/core/registry/Registry.java
+++ b/core/src/main/java/martenloom/core/registry/Registry.java
@@ -153,6 +153,9 @@
     /** The record of the replicas that have changed since the last call, if there are any. */
     public Optional<byte[]> pollChangedReplicas(long nowUs) {
         var changed = updates.pollReplicasForEdges();
+        if (updates.pollDigestOutdated()) {
+            replicaDigest = digestOfReplicas();
+        }
         return changed.isEmpty()
                 ? Optional.empty()
                 : Optional.of(RegistryRecords.replicaUpdate(changed, false, nowUs));
@@ -163,22 +166,26 @@
         return RegistryRecords.replicaUpdate(replicas(), true, nowUs);
     }
 
-    /** What the copy of the replicas at an edge is compared by. */
+    /**
+     * What the copy of the replicas at an edge is compared by: the digest of all replicas as they
+     * were when changes were last polled, so that an edge that has taken every update has the same.
+     */
     public int replicaDigest() {
-        if (updates.pollDigestOutdated()) {
-            var digest = 0;
-            for (var shard : shards) {
-                digest += shard.liveReplicaDigest();
-            }
-            replicaDigest = digest;
-        }
         return replicaDigest;
     }
 
+    private int digestOfReplicas() {
+        var digest = 0;
+        for (var shard : shards) {
+            digest += shard.liveReplicaDigest();
+        }
+        return digest;
+    }
+
     // ---- updates to and from other core daemons
 
-    /** The record of the rows that came in directly since the last call, if there are any. */
-    public Optional<byte[]> pollUpdate(long nowUs) {
+    /** The rows that came in directly since the last call. */
+    public PeerUpdate pollUpdate(long nowUs) {
         return updates.pollForPeers(nowUs);
     }
 
@@ -197,6 +204,20 @@
         in.list(row -> accept(EdgeRecord.read(row, sentUs), false));
     }
 
+    /**
+     * Takes the heartbeats and renewals that say nothing new of another core daemon.
+     *
+     * @param sentUs the time by our clock at which they were sent, from which their ages count
+     */
+    public void acceptLiveness(RecordReader in, long sentUs) {
+        for (var liveness : in.shortList(LivenessRecord::read)) {
+            shardOf(liveness.key()).acceptReplica(liveness, sentUs);
+        }
+        for (var liveness : in.shortList(LivenessRecord::read)) {
+            shardOf(liveness.key()).acceptEdge(liveness, sentUs);
+        }
+    }
+
     /** The record of the digests of our rows, by range. */
     public byte[] digests() {
         var out = new RecordWriter(RecordType.REGISTRY_DIGEST);
@@ -229,7 +250,7 @@
         for (var shard : shards) {
             tombstones += shard.tombstoneDigest();
         }
-        return replicaDigest() * HASH_FACTOR + tombstones;
+        return digestOfReplicas() * HASH_FACTOR + tombstones;
     }
 
     /** Appends all replicas to a checkpoint. */
--- a/core/src/main/java/martenloom/core/registry/RegistryRecords.java
+++ b/core/src/main/java/martenloom/core/registry/RegistryRecords.java
@@ -23,6 +23,16 @@
                 .bytes();
     }
 
+    /** Heartbeats and renewals that say nothing new, for other core daemons. */
+    static byte[] liveness(
+            Collection<ReplicaRecord> replicas, Collection<EdgeRecord> edges, long nowUs) {
+        return new RecordWriter(RecordType.REGISTRY_LIVENESS)
+                .i64(nowUs)
+                .shortList(replicas, (out, replica) -> LivenessRecord.of(replica, nowUs).write(out))
+                .shortList(edges, (out, edge) -> LivenessRecord.of(edge, nowUs).write(out))
+                .bytes();
+    }
+
     /**
      * Rows for edges.
      *
--- a/core/src/main/java/martenloom/core/registry/RegistryShard.java
+++ b/core/src/main/java/martenloom/core/registry/RegistryShard.java
@@ -70,11 +70,33 @@
         }
         edges.put(edge.ip(), edge);
         if (direct) {
-            updates.add(edge, known.isEmpty() || known.get().digest() != edge.digest());
+            updates.add(edge, known.isEmpty() || differ(known.get(), edge));
         }
         return true;
     }
 
+    private static boolean differ(EdgeRecord known, EdgeRecord edge) {
+        return known.digest() != edge.digest()
+                || known.configurationRevision() != edge.configurationRevision();
+    }
+
+    /** Another daemon has heard a heartbeat of a replica which says nothing new. */
+    synchronized void acceptReplica(LivenessRecord liveness, long sentUs) {
+        Optional.ofNullable(replicas.get(liveness.key()))
+                .map(known -> known.withHeartbeat(liveness.sequence(), liveness.heardUs(sentUs)))
+                .filter(newer -> newer.digest() == liveness.digest())
+                .filter(newer -> !isOutdated(newer, Clocks.nowUs()))
+                .ifPresent(newer -> accept(newer, false));
+    }
+
+    /** Another daemon has heard a renewal of an edge which says nothing new. */
+    synchronized void acceptEdge(LivenessRecord liveness, long sentUs) {
+        Optional.ofNullable(edges.get(liveness.key()))
+                .filter(known -> known.digest() == liveness.digest())
+                .map(known -> known.withRenewal(liveness.sequence(), liveness.heardUs(sentUs)))
+                .ifPresent(newer -> accept(newer, false));
+    }
+
     synchronized Optional<ReplicaRecord> replica(String id) {
         return Optional.ofNullable(replicas.get(id));
     }
--- a/core/src/main/java/martenloom/core/registry/RegistryUpdates.java
+++ b/core/src/main/java/martenloom/core/registry/RegistryUpdates.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import martenloom.common.clock.Clocks;
 import martenloom.common.fleet.EdgeRecord;
 import martenloom.common.fleet.ReplicaRecord;
 
@@ -17,8 +18,10 @@
     /** A lease renewal that says nothing new is sent on only so often, well within the lease. */
     private static final long UNCHANGED_RENEWAL_US = 1_200_000;
 
-    private final Map<String, ReplicaRecord> replicasForPeers = new LinkedHashMap<>();
-    private final Map<String, EdgeRecord> edgesForPeers = new LinkedHashMap<>();
+    private final Map<String, ReplicaRecord> changedReplicas = new LinkedHashMap<>();
+    private final Map<String, ReplicaRecord> unchangedReplicas = new LinkedHashMap<>();
+    private final Map<String, EdgeRecord> changedEdges = new LinkedHashMap<>();
+    private final Map<String, EdgeRecord> unchangedEdges = new LinkedHashMap<>();
     private final Map<String, ReplicaRecord> replicasForEdges = new LinkedHashMap<>();
 
     /** When the renewal of each edge was last put down for the peers. */
@@ -32,13 +35,17 @@
      * other daemons. That a replica drains or has ended is sent on by every daemon that hears of it
      * first, so that it also passes around a partition between two of them.
      *
+     * <p>A replica that drains or warms up is sent whole with each of its heartbeats, since a peer
+     * that has missed the beginning of it could not tell from its number alone.
+     *
      * @param direct whether the replica itself has reported it
      * @param changed whether the row says anything new
      */
     synchronized void add(ReplicaRecord replica, boolean direct, boolean changed) {
         var ends = changed && (replica.draining() || replica.ended());
         if (direct || ends) {
-            replicasForPeers.put(replica.id(), replica);
+            var whole = changed || replica.draining() || replica.warmFromUs() > Clocks.nowUs();
+            put(replica.id(), replica, whole, changedReplicas, unchangedReplicas);
         }
         if (changed) {
             digestOutdated = true;
@@ -52,7 +59,17 @@
         var sentUs = renewalSentUs.getOrDefault(edge.ip(), 0L);
         if (changed || edge.lastRenewalUs() - sentUs >= UNCHANGED_RENEWAL_US) {
             renewalSentUs.put(edge.ip(), edge.lastRenewalUs());
-            edgesForPeers.put(edge.ip(), edge);
+            put(edge.ip(), edge, changed, changedEdges, unchangedEdges);
+        }
+    }
+
+    private static <R> void put(
+            String key, R row, boolean whole, Map<String, R> changed, Map<String, R> unchanged) {
+        if (whole || changed.containsKey(key)) {
+            unchanged.remove(key);
+            changed.put(key, row);
+        } else {
+            unchanged.put(key, row);
         }
     }
 
@@ -81,15 +98,35 @@
         return replicas;
     }
 
-    /** The record for the other core daemons, if there is anything in it; it counts as sent. */
-    synchronized Optional<byte[]> pollForPeers(long nowUs) {
-        if (replicasForPeers.isEmpty() && edgesForPeers.isEmpty()) {
-            return Optional.empty();
-        }
-        var update =
-                RegistryRecords.update(replicasForPeers.values(), edgesForPeers.values(), nowUs);
-        replicasForPeers.clear();
-        edgesForPeers.clear();
-        return Optional.of(update);
+    /** What is to be sent to the other core daemons; it counts as sent. */
+    synchronized PeerUpdate pollForPeers(long nowUs) {
+        var anyChanged = !changedReplicas.isEmpty() || !changedEdges.isEmpty();
+        var anyUnchanged = !unchangedReplicas.isEmpty() || !unchangedEdges.isEmpty();
+        var changedRows =
+                anyChanged
+                        ? Optional.of(update(changedReplicas, changedEdges, nowUs))
+                        : Optional.<byte[]>empty();
+        var liveness =
+                anyUnchanged
+                        ? Optional.of(
+                                RegistryRecords.liveness(
+                                        unchangedReplicas.values(), unchangedEdges.values(), nowUs))
+                        : Optional.<byte[]>empty();
+        changedReplicas.putAll(unchangedReplicas);
+        changedEdges.putAll(unchangedEdges);
+        var allRows =
+                anyUnchanged
+                        ? Optional.of(update(changedReplicas, changedEdges, nowUs))
+                        : changedRows;
+        changedReplicas.clear();
+        unchangedReplicas.clear();
+        changedEdges.clear();
+        unchangedEdges.clear();
+        return new PeerUpdate(changedRows, liveness, allRows);
+    }
+
+    private static byte[] update(
+            Map<String, ReplicaRecord> replicas, Map<String, EdgeRecord> edges, long nowUs) {
+        return RegistryRecords.update(replicas.values(), edges.values(), nowUs);
     }
 }
--- a/core/src/main/java/martenloom/core/registry/ReplicaUpdatePublisher.java
+++ b/core/src/main/java/martenloom/core/registry/ReplicaUpdatePublisher.java
@@ -28,7 +28,15 @@
     /** Sends what has changed since the last call to all core daemons and edges. */
     public void publish() {
         var nowUs = Clocks.nowUs();
-        registry.pollUpdate(nowUs).ifPresent(peers::sendAll);
+        var update = registry.pollUpdate(nowUs);
+        for (var ip : peers.dialed()) {
+            if (peers.readsShortForms(ip)) {
+                update.changedRows().ifPresent(rows -> peers.send(ip, rows));
+                update.liveness().ifPresent(liveness -> peers.send(ip, liveness));
+            } else {
+                update.allRows().ifPresent(rows -> peers.send(ip, rows));
+            }
+        }
         publishToEdges(nowUs);
     }
 
@@ -49,6 +57,12 @@
         }
     }
 
+    /** Heartbeats and renewals from another core daemon that say nothing new. */
+    public void onLiveness(PeerLink link, RecordReader in) {
+        var nowUs = Clocks.nowUs();
+        registry.acceptLiveness(in, nowUs - link.transitDelay().excessDelayUs(in.i64(), nowUs));
+    }
+
     /** Rows whose sender waits for the acknowledgement that they were taken here. */
     public void onConfirmedUpdate(PeerLink link, RecordReader in) {
         var id = RequestId.read(in);
--- a/core/src/test/java/martenloom/core/registry/RegistryTest.java
+++ b/core/src/test/java/martenloom/core/registry/RegistryTest.java
@@ -43,6 +43,16 @@
         return edge;
     }
 
+    private static byte[] rows(Registry from, long now) {
+        return from.pollUpdate(now).allRows().orElseThrow();
+    }
+
+    private static void passLiveness(byte[] liveness, Registry to, long sentUs) {
+        var in = new RecordReader(liveness, true);
+        in.i64();
+        to.acceptLiveness(in, sentUs);
+    }
+
     private static void pass(byte[] update, Registry to, long sentUs) {
         var in = new RecordReader(update, true);
         in.i64();
@@ -79,7 +89,7 @@
     void anEndReachesOthersByUpdateAndByRepairAndIsNotUndoneByThem() {
         peer.accept(heartbeat("i", 7, false), true);
         here.markEnded("i", now);
-        pass(here.pollUpdate(now).orElseThrow(), peer, now);
+        pass(rows(here, now), peer, now);
         assertTrue(gone(peer, "i"));
         var cutOff = new Registry(HEARTBEAT_US);
         cutOff.accept(heartbeat("i", 8, false), true);
@@ -96,11 +106,12 @@
     void anEndPassesAroundACutBetweenTwoDaemonsAndComesToRest() {
         var behindTheCut = new Registry(HEARTBEAT_US);
         here.accept(heartbeat("i", 7, true), true);
-        pass(here.pollUpdate(now).orElseThrow(), peer, now);
-        pass(peer.pollUpdate(now).orElseThrow(), behindTheCut, now);
+        pass(rows(here, now), peer, now);
+        pass(rows(peer, now), behindTheCut, now);
         assertTrue(behindTheCut.replica("i").orElseThrow().draining());
-        pass(behindTheCut.pollUpdate(now).orElseThrow(), here, now);
-        assertTrue(here.pollUpdate(now).isEmpty(), "what is known is not published again");
+        pass(rows(behindTheCut, now), here, now);
+        assertTrue(
+                here.pollUpdate(now).allRows().isEmpty(), "what is known is not published again");
     }
 
     @Test
@@ -153,7 +164,7 @@
     @Test
     void anEdgesLeaseEndsEverywhereHoweverOftenItsRowIsPassedOn() {
         here.accept(renewal(1, 9, now), true);
-        var update = here.pollUpdate(now + SECOND_US).orElseThrow();
+        var update = rows(here, now + SECOND_US);
         pass(update, peer, now + SECOND_US);
         assertEquals(1, peer.liveEdges(now + 2 * SECOND_US).size());
         for (var round = 1; round < 6; round++) {
@@ -176,7 +187,7 @@
     @Test
     void anUpdateThatWasDelayedOnItsWayBringsNoEdgeBack() {
         here.accept(renewal(1, 9, now), true);
-        var update = here.pollUpdate(now).orElseThrow();
+        var update = rows(here, now);
         pass(update, peer, now);
         assertEquals(
                 List.of(),
@@ -189,4 +200,62 @@
                 peer.liveEdges(now + 10 * SECOND_US).get(0).incarnation(),
                 "and does not replace a later incarnation");
     }
+
+    @Test
+    void aHeartbeatThatSaysNothingNewIsPassedOnByItsNumberAlone() {
+        here.accept(heartbeat("i", 1, false), true);
+        here.accept(renewal(1, 1, now), true);
+        var first = here.pollUpdate(now);
+        assertTrue(first.liveness().isEmpty());
+        pass(first.changedRows().orElseThrow(), peer, now);
+        var later = now + 2 * SECOND_US;
+        var beat = heartbeat("i", 2, false);
+        beat.setLastHeartbeatUs(later);
+        here.accept(beat, true);
+        here.accept(renewal(1, 2, later), true);
+        var second = here.pollUpdate(later);
+        assertTrue(second.changedRows().isEmpty());
+        var liveness = second.liveness().orElseThrow();
+        assertTrue(liveness.length < second.allRows().orElseThrow().length / 2);
+        peer.sweep(later);
+        assertTrue(peer.replica("i").orElseThrow().unreachable(), "its heartbeats were missed");
+        passLiveness(liveness, peer, later);
+        assertFalse(peer.replica("i").orElseThrow().unreachable());
+        assertEquals(2, peer.replica("i").orElseThrow().sequence());
+        assertEquals(1, peer.liveEdges(later + 2 * SECOND_US).size());
+    }
+
+    @Test
+    void aDaemonThatMissedAChangeIsNotMisledByTheHeartbeatsAfterIt() {
+        here.accept(heartbeat("i", 1, false), true);
+        pass(rows(here, now), peer, now);
+        here.accept(heartbeat("i", 2, true), true);
+        rows(here, now);
+        here.accept(heartbeat("i", 3, true), true);
+        var drains = here.pollUpdate(now);
+        assertTrue(drains.liveness().isEmpty(), "a replica that drains is sent whole each time");
+        pass(drains.changedRows().orElseThrow(), peer, now);
+        assertTrue(peer.replica("i").orElseThrow().draining());
+
+        var unknown = new LivenessRecord("j", 1, 9, 0);
+        var otherwise = new LivenessRecord("i", 1, 9, 0);
+        var out = new RecordWriter(0).i64(now).varint(2);
+        unknown.write(out);
+        otherwise.write(out);
+        passLiveness(out.varint(0).bytes(), peer, now);
+        assertTrue(peer.replica("j").isEmpty());
+        assertEquals(3, peer.replica("i").orElseThrow().sequence(), "the digests differ");
+    }
+
+    @Test
+    void aReplicaThatWarmsUpIsSentWholeEachTime() {
+        for (var sequence = 1; sequence < 4; sequence++) {
+            var warming = heartbeat("i", sequence, false);
+            warming.setWarmFromUs(now + 60 * SECOND_US);
+            here.accept(warming, true);
+            var update = here.pollUpdate(now);
+            assertTrue(update.liveness().isEmpty());
+            assertTrue(update.changedRows().isPresent());
+        }
+    }
 }
--- a/edge/src/main/java/martenloom/edge/EdgeDaemon.java
+++ b/edge/src/main/java/martenloom/edge/EdgeDaemon.java
@@ -32,6 +32,7 @@
 import martenloom.edge.lifecycle.GracefulShutdown;
 import martenloom.edge.lifecycle.Readiness;
 import martenloom.edge.load.ClusterLoadView;
+import martenloom.edge.load.LoadSampler;
 import martenloom.edge.overload.OverloadReport;
 import martenloom.edge.overload.OverloadReportPublisher;
 import martenloom.edge.replica.ReplicaTable;
@@ -68,6 +69,7 @@
                     RecordType.JOB_LIST,
                     RecordType.ORDER_RESPONSE,
                     RecordType.TOTAL_LOAD,
+                    RecordType.LOAD_UPDATE,
                     RecordType.OVERLOAD_REPORT);
 
     private final Settings settings;
@@ -83,6 +85,7 @@
     private final JobRunner jobs;
     private final ConfigurationReceiver configuration;
     private final EdgeSubscription subscription;
+    private final LoadSampler sampler;
     private final ClusterLoadView load;
     private final OverloadReportPublisher overloadReports;
     private final ShellQueries shell;
@@ -128,7 +131,8 @@
         subscription =
                 new EdgeSubscription(
                         settings, home, replicaTable, dispatcher, configuration, readiness);
-        load = new ClusterLoadView(replicaTable, dispatcher, settings.ipAddress(), incarnation);
+        sampler = new LoadSampler(replicaTable, dispatcher, settings.ipAddress(), incarnation);
+        load = new ClusterLoadView(replicaTable, dispatcher, sampler, home::send);
         overloadReports =
                 new OverloadReportPublisher(settings, dispatcher, replicaTable, this::publish);
         shell = new ShellQueries(dispatcher, jobs, scaler, roles, this::homeLine);
@@ -225,7 +229,7 @@
                             + " "
                             + shell.answer("counters"));
         }
-        home.link().ifPresent(link -> load.sampleRecord(Clocks.nowUs()).ifPresent(link::send));
+        home.link().ifPresent(link -> sampler.sampleRecord(Clocks.nowUs()).ifPresent(link::send));
     }
 
     private void reportOverload() {
@@ -280,6 +284,7 @@
             case RecordType.JOB_LIST -> jobs.onListings(in.list(JobListing::read));
             case RecordType.ORDER_RESPONSE -> core.onReply(link, in);
             case RecordType.TOTAL_LOAD -> load.onTotal(in, Clocks.nowUs());
+            case RecordType.LOAD_UPDATE -> load.onUpdate(in, Clocks.nowUs());
             case RecordType.OVERLOAD_REPORT -> onReport(OverloadReport.read(in));
             case RecordType.SHELL_QUERY -> onQuery(link, in);
             default -> RingLog.debug("link " + link.peer() + ": unknown record " + in.type());
--- a/edge/src/main/java/martenloom/edge/dispatch/AttemptStarter.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/AttemptStarter.java
@@ -69,7 +69,7 @@
             request.become(Request.State.RUNNING);
         }
         attempt.addToLoad();
-        rememberPrefix(request, replica);
+        rememberPrefix(request, replica, nowUs);
         attempt.start(
                 loop,
                 replica.region().equals(ownRegion)
@@ -109,7 +109,7 @@
     }
 
     /** Engines keep the segments of a prompt for those that come after it. */
-    private void rememberPrefix(Request request, ReplicaEndpoint replica) {
+    private void rememberPrefix(Request request, ReplicaEndpoint replica, long nowUs) {
         var service = cluster.table().services().get(request.service());
         if (service == null || !service.inferenceEngine()) {
             return;
@@ -117,7 +117,7 @@
         var prompt = request.prompt();
         replica.prefixCache().add(prompt, service.cacheTokens());
         if (prompt.hasLargeShared()) {
-            prefixCache.onSent(prompt, replica);
+            prefixCache.onSent(prompt, replica, nowUs);
         }
     }
 }
--- a/edge/src/main/java/martenloom/edge/dispatch/PrefixCacheOwnership.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/PrefixCacheOwnership.java
@@ -44,8 +44,8 @@
     }
 
     /** The large shared segments of a prompt were sent to a replica, to which they now belong. */
-    void onSent(Prompt prompt, ReplicaEndpoint replica) {
-        prefixOwners.onSent(prompt.lastShared(), replica.id());
+    void onSent(Prompt prompt, ReplicaEndpoint replica, long nowUs) {
+        prefixOwners.onSent(prompt.lastShared(), replica.id(), nowUs);
     }
 
     /** The replicas of all allowed regions, in the order in which the segments belong to them. */
--- a/edge/src/main/java/martenloom/edge/dispatch/RequestDispatcher.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/RequestDispatcher.java
@@ -1,7 +1,6 @@
 package martenloom.edge.dispatch;
 
 import io.activej.eventloop.Eventloop;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -236,7 +235,7 @@
     public void tick() {
         var now = Clocks.nowUs();
         scheduler.drainQueues(now);
-        for (var replica : List.copyOf(replicaTable.all())) {
+        for (var replica : replicaTable.active()) {
             stallDetector.check(replica, now);
         }
     }
--- a/edge/src/main/java/martenloom/edge/load/ClusterLoadView.java
+++ b/edge/src/main/java/martenloom/edge/load/ClusterLoadView.java
@@ -1,67 +1,74 @@
 package martenloom.edge.load;
 
-import java.util.Arrays;
-import java.util.LinkedHashMap;
-import java.util.Optional;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.Consumer;
 import martenloom.common.codec.RecordReader;
 import martenloom.common.codec.RecordWriter;
 import martenloom.common.fleet.RecordType;
+import martenloom.common.load.LoadSubscription;
 import martenloom.common.load.LoadSummary;
 import martenloom.edge.dispatch.RequestDispatcher;
+import martenloom.edge.replica.PrefixOwners;
 import martenloom.edge.replica.ReplicaEndpoint;
 import martenloom.edge.replica.ReplicaTable;
 
 /**
- * This edge's side of the load totals: writes its own sample for the home when it has changed, and
- * turns a total that comes back into the load of the other edges, by subtracting the sample of ours
- * that the total names. Suspicions are taken from the edges of our zone only: those elsewhere may
- * be partitioned from a replica that is well and in our reach. Runs on the reactor thread.
+ * What this edge is told of the load of the whole fleet. The home sends it as a stream of changes
+ * (see {@link martenloom.common.load.LoadPublication}), or whole where it is of the first version.
+ * A load that is told includes the sample of this edge that the record names, which is subtracted.
+ * Suspicions are taken from the edges of our zone only: those elsewhere may be partitioned from a
+ * replica that is well and in our reach. Runs on the reactor thread.
  */
 public final class ClusterLoadView {
-    private static final int MAX_SAMPLES = 32;
-
-    /** An unchanged sample is sent after so many turns all the same. */
-    private static final int MAX_UNCHANGED_TURNS = 5;
-
-    private static final long HEARD_LATELY_US = 250_000;
-
     /** The age up to which the total is taken as that of now. */
     private static final long FRESH_US = 1_400_000;
 
+    /** The stream is asked for again when no snapshot has come for so long. */
+    private static final long ASK_AGAIN_US = 500_000;
+
     /** The total is relied on when it is of two thirds of the edges. */
     private static final int QUORUM = 2;
 
     private static final int QUORUM_OF = 3;
 
     private final ReplicaTable replicaTable;
-    private final RequestDispatcher dispatcher;
-    private final String ip;
-    private final long incarnation;
+    private final PrefixOwners prefixOwners;
+    private final LoadSampler sampler;
+    private final Consumer<byte[]> toHome;
+    private final LoadSubscription subscription = new LoadSubscription();
 
-    /** The samples that were sent, by their sequence; the oldest are dropped. */
-    private final LinkedHashMap<Long, LoadSummary> samples = new LinkedHashMap<>();
+    /** The replicas of the last record that some edge of our zone suspects. */
+    private Set<String> suspectedInZone = new HashSet<>();
+
+    /** Replicas whose attempts fail somewhere, by what was told last. */
+    private final Set<String> failing = new HashSet<>();
+
+    /** Replicas whose load was told before their registration came. */
+    private final Set<String> unregistered = new HashSet<>();
 
-    private byte[] lastSample = new byte[0];
-    private long sequence;
-    private int unchangedTurns;
     private LoadSummary total = new LoadSummary();
     private long totalAtUs;
+    private long askedUs = -ASK_AGAIN_US;
 
     /**
      * Creates a view with no total.
      *
-     * @param ip the address of this edge
-     * @param incarnation a random number that no other run of this edge uses
+     * @param sampler knows the samples of this edge
+     * @param toHome sends a record to the home
      */
     public ClusterLoadView(
-            ReplicaTable replicaTable, RequestDispatcher dispatcher, String ip, long incarnation) {
+            ReplicaTable replicaTable,
+            RequestDispatcher dispatcher,
+            LoadSampler sampler,
+            Consumer<byte[]> toHome) {
         this.replicaTable = replicaTable;
-        this.dispatcher = dispatcher;
-        this.ip = ip;
-        this.incarnation = incarnation;
+        this.sampler = sampler;
+        this.toHome = toHome;
+        prefixOwners = dispatcher.prefixOwners();
     }
 
-    /** The total over all edges that came last. */
+    /** The total over all edges as it is known. */
     public LoadSummary total() {
         return total;
     }
@@ -71,82 +78,110 @@
         return now - totalAtUs < FRESH_US && total.edgeCount() * QUORUM_OF >= knownEdges * QUORUM;
     }
 
-    /** The record with the sample of this turn, if it is to be sent. */
-    public Optional<byte[]> sampleRecord(long now) {
-        var sample = sample(now);
-        var bytes = sample.write(new RecordWriter()).bytes();
-        if (Arrays.equals(bytes, lastSample)
-                && dispatcher.prefixOwners().isAllReported()
-                && ++unchangedTurns < MAX_UNCHANGED_TURNS) {
-            return Optional.empty();
+    /** Takes an update of the home's stream; asks for a snapshot when it does not follow. */
+    public void onUpdate(RecordReader in, long now) {
+        var own = sampler.sample(in.varint());
+        var begins = !subscription.isInSync();
+        var changed = new HashSet<String>();
+        if (subscription.take(in, changed) == LoadSubscription.Outcome.MISSED_SOME) {
+            requestStream(now);
+            return;
         }
-        unchangedTurns = 0;
-        lastSample = bytes;
-        samples.put(++sequence, sample);
-        if (samples.size() > MAX_SAMPLES) {
-            samples.remove(samples.keySet().iterator().next());
+        onReceived(subscription.loads(), now);
+        in.shortList(
+                location -> {
+                    prefixOwners.onReported(location.shortText(), location.shortText(), now);
+                    return 0;
+                });
+        var zone = LoadSummary.readSuspected(in);
+        if (begins) {
+            replicaTable.all().forEach(replica -> applyLoad(replica, own));
         }
-        var out =
-                sample.write(
-                        new RecordWriter(RecordType.LOAD_SAMPLE)
-                                .text(ip)
-                                .i64(incarnation)
-                                .i64(sequence));
-        dispatcher.prefixOwners().writeUnreported(out);
-        return Optional.of(out.bytes());
+        changed.addAll(unregistered);
+        unregistered.clear();
+        changed.forEach(id -> applyChange(id, own));
+        applySuspicions(zone, own, now);
     }
 
-    private LoadSummary sample(long now) {
-        var sample = LoadSummary.ofEdge();
-        for (var replica : replicaTable.all()) {
-            addReplica(sample, replica, now);
-        }
-        dispatcher.addRequestsInFlight(sample);
-        return sample;
+    /** Takes the total over all edges from a home of the first version. */
+    public void onTotal(RecordReader in, long now) {
+        requestStream(now);
+        var own = sampler.sample(in.i64());
+        onReceived(LoadSummary.read(in), now);
+        in.list(
+                location -> {
+                    prefixOwners.onReported(location.text(), location.text(), now);
+                    return 0;
+                });
+        var zone = LoadSummary.read(in);
+        replicaTable.all().forEach(replica -> applyLoad(replica, own));
+        failing.clear();
+        total.replicaLoads().keySet().forEach(this::noteFailures);
+        applySuspicions(zone, own, now);
     }
 
-    private static void addReplica(LoadSummary sample, ReplicaEndpoint replica, long now) {
-        var suspicion = replica.reachability().reportsSuspicion(now);
-        var failures = replica.health().failures(now);
-        var successes = replica.health().successes(now);
-        var inFlight = replica.load().ownInFlight();
-        if (inFlight > 0 || suspicion || failures + successes > 0) {
-            var load =
-                    sample.addReplica(
-                            replica.id(),
-                            inFlight,
-                            replica.load().ownPendingPrefillTokens(),
-                            suspicion);
-            load.setSuccesses(successes);
-            load.setFailures(failures);
-            var heardLately = now - replica.reachability().heardUs() < HEARD_LATELY_US;
-            load.setHearingEdges(!suspicion && heardLately ? 1 : 0);
+    private void requestStream(long now) {
+        if (now - askedUs >= ASK_AGAIN_US) {
+            askedUs = now;
+            toHome.accept(new RecordWriter(RecordType.LOAD_SUBSCRIPTION).bytes());
         }
     }
 
-    /** Takes the total over all edges. */
-    public void onTotal(RecordReader in, long now) {
-        var own = samples.getOrDefault(in.i64(), new LoadSummary());
-        total = LoadSummary.read(in);
+    private void onReceived(LoadSummary received, long now) {
+        total = received;
         totalAtUs = now;
-        dispatcher.prefixOwners().readReported(in);
-        var zone = LoadSummary.read(in);
-        for (var replica : replicaTable.all()) {
-            applyTotal(replica, own, zone, now);
+        replicaTable.peerTotalsAge().onReceived(now);
+    }
+
+    // ---- load
+
+    private void applyChange(String id, LoadSummary own) {
+        noteFailures(id);
+        var replica = replicaTable.find(id);
+        if (replica.isPresent()) {
+            applyLoad(replica.get(), own);
+        } else if (total.replicaLoad(id).inFlight() > 0) {
+            unregistered.add(id);
         }
     }
 
-    private void applyTotal(ReplicaEndpoint replica, LoadSummary own, LoadSummary zone, long now) {
+    private void noteFailures(String id) {
+        if (total.replicaLoad(id).failures() > 0) {
+            failing.add(id);
+        } else {
+            failing.remove(id);
+        }
+    }
+
+    private void applyLoad(ReplicaEndpoint replica, LoadSummary own) {
         var all = total.replicaLoad(replica.id());
         var ours = own.replicaLoad(replica.id());
-        var inZone = zone.replicaLoad(replica.id());
-        replica.onPeerTotals(
+        replica.onPeerLoad(
                 all.inFlight() - ours.inFlight(),
-                all.pendingPrefillTokens() - ours.pendingPrefillTokens(),
+                all.pendingPrefillTokens() - ours.pendingPrefillTokens());
+    }
+
+    // ---- health
+
+    private void applySuspicions(LoadSummary zone, LoadSummary own, long now) {
+        var concerned = new HashSet<>(suspectedInZone);
+        suspectedInZone = new HashSet<>(zone.replicaLoads().keySet());
+        concerned.addAll(suspectedInZone);
+        concerned.addAll(failing);
+        for (var id : concerned) {
+            replicaTable.find(id).ifPresent(replica -> applySuspicions(replica, zone, own, now));
+        }
+    }
+
+    private void applySuspicions(
+            ReplicaEndpoint replica, LoadSummary zone, LoadSummary own, long now) {
+        var all = total.replicaLoad(replica.id());
+        var ours = own.replicaLoad(replica.id());
+        var inZone = zone.replicaLoad(replica.id());
+        replica.onPeerSuspicions(
                 inZone.suspectingEdges() - ours.suspectingEdges(),
-                inZone.hearingEdges() - ours.hearingEdges(),
-                now);
-        if (all.failures() > 0) {
+                inZone.hearingEdges() - ours.hearingEdges());
+        if (all.failures() > 0 || inZone.failures() > 0) {
             replicaTable.ejectIfOutlier(
                     replica,
                     all.successes(),
--- a/edge/src/main/java/martenloom/edge/replica/PrefixOwners.java
+++ b/edge/src/main/java/martenloom/edge/replica/PrefixOwners.java
@@ -4,31 +4,44 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
-import martenloom.common.codec.RecordReader;
 import martenloom.common.codec.RecordWriter;
 
 /**
- * The replica to which each large shared prefix was last sent, by any edge. Each edge reports its
- * own sendings to its peers, by way of the homes, so that a new replica does not draw prefixes away
- * from those that have them cached. Bounded; the oldest entries are dropped. Runs on the reactor
- * thread.
+ * The replica to which each large shared prefix was last sent, by any edge. Each edge reports to
+ * its peers, by way of the homes, when it sends a prefix elsewhere than they know, and else now and
+ * then, so that a new replica does not draw prefixes away from those that have them cached.
+ * Bounded; the oldest entries are dropped. Runs on the reactor thread.
  */
 public final class PrefixOwners {
     private static final int MAX_PREFIXES = 4096;
     private static final int MAX_UNREPORTED = 256;
 
-    private final Object2ObjectLinkedOpenHashMap<String, String> ownerByPrefix =
+    /** An owner that has not changed is reported again only after so long, by one of the edges. */
+    private static final long REPORT_AGAIN_US = 10_000_000;
+
+    /** The owner of a prefix and when it was last reported, by this edge or to it. */
+    private record Owner(String replica, long reportedUs) {}
+
+    private final Object2ObjectLinkedOpenHashMap<String, Owner> ownerByPrefix =
             new Object2ObjectLinkedOpenHashMap<>();
     private final Map<String, String> unreported = new LinkedHashMap<>();
 
     /** The id of the replica to which a prefix was last sent. */
     public Optional<String> ownerOf(String prefix) {
-        return Optional.ofNullable(ownerByPrefix.get(prefix));
+        return Optional.ofNullable(ownerByPrefix.get(prefix)).map(Owner::replica);
     }
 
-    /** This edge has sent a prefix to a replica, which is to be reported to its peers. */
-    public void onSent(String prefix, String replica) {
-        setOwner(prefix, replica);
+    /** This edge has sent a prefix to a replica, which its peers are told unless they know. */
+    public void onSent(String prefix, String replica, long nowUs) {
+        var known =
+                Optional.ofNullable(ownerByPrefix.get(prefix))
+                        .filter(owner -> owner.replica.equals(replica))
+                        .filter(owner -> nowUs - owner.reportedUs < REPORT_AGAIN_US);
+        if (known.isPresent()) {
+            ownerByPrefix.getAndMoveToLast(prefix);
+            return;
+        }
+        setOwner(prefix, new Owner(replica, nowUs));
         if (unreported.size() < MAX_UNREPORTED) {
             unreported.put(prefix, replica);
         }
@@ -39,8 +52,8 @@
         return unreported.isEmpty();
     }
 
-    private void setOwner(String prefix, String replica) {
-        ownerByPrefix.putAndMoveToLast(prefix, replica);
+    private void setOwner(String prefix, Owner owner) {
+        ownerByPrefix.putAndMoveToLast(prefix, owner);
         while (ownerByPrefix.size() > MAX_PREFIXES) {
             ownerByPrefix.removeFirst();
         }
@@ -55,7 +68,7 @@
                         entry ->
                                 lines.append(entry.getKey())
                                         .append(" at ")
-                                        .append(entry.getValue())
+                                        .append(entry.getValue().replica)
                                         .append('\n'));
         return lines.toString();
     }
@@ -68,12 +81,8 @@
         unreported.clear();
     }
 
-    /** Reads what other edges reported. */
-    public void readReported(RecordReader in) {
-        in.list(
-                item -> {
-                    setOwner(item.text(), item.text());
-                    return 0;
-                });
+    /** Another edge has reported the owner of a prefix. */
+    public void onReported(String prefix, String replica, long nowUs) {
+        setOwner(prefix, new Owner(replica, nowUs));
     }
 }
--- a/edge/src/main/java/martenloom/edge/replica/Reachability.java
+++ b/edge/src/main/java/martenloom/edge/replica/Reachability.java
@@ -32,9 +32,10 @@
     private long backedOffAtUs;
     private int peerSuspicions;
     private int peersHearing;
-    private long peerTotalsAtUs;
+    private final PeerTotalsAge peerTotalsAge;
 
-    Reachability(long now) {
+    Reachability(PeerTotalsAge peerTotalsAge, long now) {
+        this.peerTotalsAge = peerTotalsAge;
         heardUs = now;
     }
 
@@ -135,10 +136,9 @@
     }
 
     /** Takes how many other edges of our zone suspect the replica and how many of them hear it. */
-    void onPeerTotals(int suspicions, int hearing, long now) {
+    void onPeerTotals(int suspicions, int hearing) {
         peerSuspicions = suspicions;
         peersHearing = hearing;
-        peerTotalsAtUs = now;
     }
 
     /**
@@ -146,14 +146,14 @@
      * suspects it: it is busy with them, not gone.
      */
     public boolean peersHear(long now) {
-        return peersHearing > 0 && now - peerTotalsAtUs < PEER_TOTALS_VALID_US;
+        return peersHearing > 0 && peerTotalsAge.isWithin(PEER_TOTALS_VALID_US, now);
     }
 
     /** Whether other edges of our zone suspect the replica and nobody has heard it lately. */
     public boolean peersSuspect(long now) {
         return peerSuspicions > 0
                 && peersHearing <= 0
-                && now - peerTotalsAtUs < PEER_TOTALS_VALID_US
+                && peerTotalsAge.isWithin(PEER_TOTALS_VALID_US, now)
                 && now - heardUs > HEARD_LATELY_US;
     }
 }
--- a/edge/src/main/java/martenloom/edge/replica/ReplicaEndpoint.java
+++ b/edge/src/main/java/martenloom/edge/replica/ReplicaEndpoint.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import martenloom.common.fleet.ReplicaRecord;
 import martenloom.common.settings.IpPort;
 import martenloom.edge.transport.ReplicaConnection;
@@ -14,11 +15,20 @@
  * thread.
  */
 public final class ReplicaEndpoint implements ReplicaConnection.Owner {
+    /**
+     * What the endpoints of one table share.
+     *
+     * @param peerTotalsAge when the totals of the other edges last came
+     * @param onAttempt is told of the endpoint whenever an attempt begins
+     */
+    record Surroundings(PeerTotalsAge peerTotalsAge, Consumer<ReplicaEndpoint> onAttempt) {}
+
     private ReplicaRecord registration;
     private final String region;
     private final InetSocketAddress address;
     private final double tieBreakCostUs;
-    private final ReplicaLoad load = new ReplicaLoad();
+    private final Surroundings surroundings;
+    private final ReplicaLoad load;
     private final LatencyEstimate latency;
     private final Reachability reachability;
     private final ReplicaHealth health = new ReplicaHealth();
@@ -33,13 +43,16 @@
             String region,
             double tieBreakCostUs,
             LatencyEstimate latency,
+            Surroundings surroundings,
             long now) {
         this.registration = registration;
         this.region = region;
         this.tieBreakCostUs = tieBreakCostUs;
         this.latency = latency;
+        this.surroundings = surroundings;
+        load = new ReplicaLoad(surroundings.peerTotalsAge);
         address = IpPort.parse("Address", registration.address());
-        reachability = new Reachability(now);
+        reachability = new Reachability(surroundings.peerTotalsAge, now);
     }
 
     /** The last record of the registry. */
@@ -197,6 +210,7 @@
     public void addAttempt(InFlightAttempt attempt, int prefillTokens) {
         load.onAttempt(prefillTokens);
         attempts.add(attempt);
+        surroundings.onAttempt.accept(this);
     }
 
     /** An attempt has ended. */
@@ -252,13 +266,13 @@
         connections.removeIdle(connection);
     }
 
-    /**
-     * Takes what the other edges know by the last totals: their load from everywhere, suspicions
-     * and who hears the replica from our zone.
-     */
-    public void onPeerTotals(
-            int inFlight, int pendingPrefillTokens, int suspicions, int hearing, long now) {
-        load.onPeerTotals(inFlight, pendingPrefillTokens, now);
-        reachability.onPeerTotals(suspicions, hearing, now);
+    /** Takes what the other edges have in flight here, from everywhere. */
+    public void onPeerLoad(int inFlight, int pendingPrefillTokens) {
+        load.onPeerTotals(inFlight, pendingPrefillTokens);
+    }
+
+    /** Takes how many other edges of our zone suspect the replica, and how many hear it. */
+    public void onPeerSuspicions(int suspicions, int hearing) {
+        reachability.onPeerTotals(suspicions, hearing);
     }
 }
--- a/edge/src/main/java/martenloom/edge/replica/ReplicaLoad.java
+++ b/edge/src/main/java/martenloom/edge/replica/ReplicaLoad.java
@@ -11,7 +11,14 @@
     private int ownPendingPrefillTokens;
     private int peerInFlight;
     private int peerPendingPrefillTokens;
-    private long peerTotalsAtUs;
+    private final PeerTotalsAge peerTotalsAge;
+
+    /**
+     * @param peerTotalsAge when the totals of the other edges last came
+     */
+    ReplicaLoad(PeerTotalsAge peerTotalsAge) {
+        this.peerTotalsAge = peerTotalsAge;
+    }
 
     /** An attempt begins that makes the replica prefill so many tokens. */
     public void onAttempt(int prefillTokens) {
@@ -30,10 +37,9 @@
     }
 
     /** Takes what the other edges have here. */
-    void onPeerTotals(int inFlight, int pendingPrefillTokens, long now) {
+    void onPeerTotals(int inFlight, int pendingPrefillTokens) {
         peerInFlight = Math.max(0, inFlight);
         peerPendingPrefillTokens = Math.max(0, pendingPrefillTokens);
-        peerTotalsAtUs = now;
     }
 
     /** The attempts of this edge in flight. */
@@ -43,7 +49,7 @@
 
     /** The attempts of the other edges in flight. */
     public int peerInFlight(long now) {
-        return now - peerTotalsAtUs < PEER_TOTALS_VALID_US ? peerInFlight : 0;
+        return peerTotalsAge.isWithin(PEER_TOTALS_VALID_US, now) ? peerInFlight : 0;
     }
 
     /** The attempts of all edges in flight. */
@@ -62,6 +68,6 @@
     }
 
     private int peerPendingPrefillTokens(long now) {
-        return now - peerTotalsAtUs < PEER_TOTALS_VALID_US ? peerPendingPrefillTokens : 0;
+        return peerTotalsAge.isWithin(PEER_TOTALS_VALID_US, now) ? peerPendingPrefillTokens : 0;
     }
 }
--- a/edge/src/main/java/martenloom/edge/replica/ReplicaTable.java
+++ b/edge/src/main/java/martenloom/edge/replica/ReplicaTable.java
@@ -4,9 +4,11 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import martenloom.common.clock.Clocks;
 import martenloom.common.fleet.ReplicaRecord;
 import martenloom.common.log.RingLog;
@@ -47,6 +49,14 @@
     private final Settings settings;
     private final LatencyPredictor predictor = new LatencyPredictor();
     private final WarmupPermits warmupPermits = new WarmupPermits();
+    private int digest;
+    private boolean digestOutdated = true;
+    private final PeerTotalsAge peerTotalsAge = new PeerTotalsAge();
+    private final ReplicaEndpoint.Surroundings surroundings =
+            new ReplicaEndpoint.Surroundings(peerTotalsAge, this::onAttempt);
+
+    /** The replicas that this edge has something to say of; see {@link #active}. */
+    private final Set<ReplicaEndpoint> active = new LinkedHashSet<>();
 
     public ReplicaTable(Settings settings) {
         this.settings = settings;
@@ -67,6 +77,30 @@
         return replicas.values();
     }
 
+    /**
+     * A copy of the replicas with attempts in flight, or with attempts in the past that still
+     * matter: few, however many replicas there are.
+     */
+    public List<ReplicaEndpoint> active() {
+        return List.copyOf(active);
+    }
+
+    private void onAttempt(ReplicaEndpoint replica) {
+        if (replicas.get(replica.id()) == replica) {
+            active.add(replica);
+        }
+    }
+
+    /** Nothing that happened at a replica matters any more, until its next attempt. */
+    public void setInactive(ReplicaEndpoint replica) {
+        active.remove(replica);
+    }
+
+    /** When the totals of the other edges last came. */
+    public PeerTotalsAge peerTotalsAge() {
+        return peerTotalsAge;
+    }
+
     public Optional<ReplicaEndpoint> find(String id) {
         return Optional.ofNullable(replicas.get(id));
     }
@@ -144,6 +178,7 @@
 
     /** Takes a record of the registry, unless a newer one or the end of the replica is known. */
     public void register(ReplicaRecord newer) {
+        digestOutdated = true;
         if (newer.ended()) {
             deregistered.put(newer.id(), true);
         } else if (deregistered.containsKey(newer.id())) {
@@ -171,6 +206,7 @@
                         settings.regionOf(first.zone()),
                         tieBreakCostUs(first.id()),
                         new LatencyEstimate(predictor.serviceRate(first.service())),
+                        surroundings,
                         Clocks.nowUs());
         replicas.put(first.id(), replica);
         byService.computeIfAbsent(first.service(), service -> new ArrayList<>()).add(replica);
@@ -183,17 +219,22 @@
 
     /** Removes a replica; its attempts in flight go on. */
     public void remove(ReplicaEndpoint replica) {
+        digestOutdated = true;
         replica.deregister();
         replicas.remove(replica.id());
+        active.remove(replica);
         byService.getOrDefault(replica.service(), new ArrayList<>()).remove(replica);
         replica.connections().closeIdle();
     }
 
     /** The sum of the digests of all records, by which an edge and its home compare them. */
     public int digest() {
-        var digest = 0;
-        for (var replica : replicas.values()) {
-            digest += replica.isDeregistered() ? 0 : replica.registration().digest();
+        if (digestOutdated) {
+            digestOutdated = false;
+            digest = 0;
+            for (var replica : replicas.values()) {
+                digest += replica.isDeregistered() ? 0 : replica.registration().digest();
+            }
         }
         return digest;
     }
--- a/edge/src/test/java/martenloom/edge/dispatch/PrefixCacheOwnershipTest.java
+++ b/edge/src/test/java/martenloom/edge/dispatch/PrefixCacheOwnershipTest.java
@@ -57,7 +57,7 @@
         var request = request("shared:1500,own:10");
         var last = ownership.ownersInOrder(replicas, request).get(3);
         assertFalse(ownership.isCached(last, request));
-        ownership.onSent(request.prompt(), last);
+        ownership.onSent(request.prompt(), last, 0);
         assertTrue(ownership.isCached(last, request));
         assertEquals(last, ownership.ownersInOrder(replicas, request).get(0));
     }
@@ -65,7 +65,7 @@
     @Test
     void smallSharedSegmentsAreNotTakenAsCached() {
         var request = request("shared:999,own:10");
-        ownership.onSent(request.prompt(), replicas.get(0));
+        ownership.onSent(request.prompt(), replicas.get(0), 0);
         assertFalse(ownership.isCached(replicas.get(0), request));
     }
 }
--- a/edge/src/test/java/martenloom/edge/replica/ReachabilityTest.java
+++ b/edge/src/test/java/martenloom/edge/replica/ReachabilityTest.java
@@ -19,8 +19,8 @@
     private static final long PEER_TOTALS_VALID_US = 700_000;
     private static final int PEERS_IN_FLIGHT = 4;
 
-    private final ReplicaEndpoint replica =
-            ReplicaFixture.replica(ReplicaFixture.table(), "replica");
+    private final ReplicaTable table = ReplicaFixture.table();
+    private final ReplicaEndpoint replica = ReplicaFixture.replica(table, "replica");
     private final Reachability reachability = replica.reachability();
 
     @Test
@@ -40,18 +40,24 @@
         assertEquals(now + BACKOFF_US, reachability.suspectedUntilUs());
     }
 
+    private void totals(int suspicions, int hearing) {
+        table.peerTotalsAge().onReceived(NOW_US);
+        replica.onPeerLoad(PEERS_IN_FLIGHT, 0);
+        replica.onPeerSuspicions(suspicions, hearing);
+    }
+
     @Test
     void aSuspicionCountsOnlyWhileNobodyOfTheZoneHearsTheReplica() {
         reachability.onHeard(0);
-        replica.onPeerTotals(PEERS_IN_FLIGHT, 0, 1, 0, NOW_US);
+        totals(1, 0);
         assertTrue(reachability.peersSuspect(NOW_US));
         assertFalse(reachability.peersHear(NOW_US));
-        replica.onPeerTotals(PEERS_IN_FLIGHT, 0, 1, 2, NOW_US);
+        totals(1, 2);
         assertFalse(reachability.peersSuspect(NOW_US), "one edge's silence is not the replica's");
         assertTrue(reachability.peersHear(NOW_US));
         assertFalse(
                 reachability.peersHear(NOW_US + PEER_TOTALS_VALID_US), "old totals say nothing");
-        replica.onPeerTotals(PEERS_IN_FLIGHT, 0, 0, 0, NOW_US);
+        totals(0, 0);
         assertFalse(reachability.peersSuspect(NOW_US));
     }
 }
--- a/edge/src/test/java/martenloom/edge/replica/ReplicaFixture.java
+++ b/edge/src/test/java/martenloom/edge/replica/ReplicaFixture.java
@@ -1,6 +1,7 @@
 package martenloom.edge.replica;
 
 import martenloom.common.fleet.ReplicaRecord;
+import martenloom.common.settings.Settings;
 import martenloom.common.settings.SettingsFile;
 
 /** A replica table of an edge for tests, and registrations of replicas in its zone. */
@@ -21,9 +22,14 @@
 
     private ReplicaFixture() {}
 
+    /** The settings of the edge. */
+    public static Settings settings() {
+        return SettingsFile.parse(SETTINGS);
+    }
+
     /** A table without replicas. */
     public static ReplicaTable table() {
-        return new ReplicaTable(SettingsFile.parse(SETTINGS));
+        return new ReplicaTable(settings());
     }
 
     /** A registration of a replica that serves. */
