Edges and core daemons are sent the rows that they lack, in short form

Cause: edges fetched all replicas again for changes that were still under way, a daemon that was only asked as a candidate sent all of them as well, and core daemons answered one changed row with a sixteenth of the fleet (docs/incidents/digest-mismatch-resync.md).

Change: an edge tells digests of 256 ranges and gets the rows of those that differ; the digest of a home is that of what it has sent; core daemons compare 256 ranges; rows in ReplicaRows take some 40 bytes in place of 110. Daemons of the first version are served as before (PEER_FEATURES).

--- a/common/src/main/java/martenloom/common/fleet/RecordType.java
+++ b/common/src/main/java/martenloom/common/fleet/RecordType.java
@@ -40,9 +40,15 @@
      */
     public static final int REGISTRY_LIVENESS = 49;
 
-    /** Follows {@link #HELLO}: what the sender understands beyond the first version. */
+    /** Sent when a link opens, and answered: what the sender reads beyond the first version. */
     public static final int PEER_FEATURES = 50;
 
+    /** Like {@link #REGISTRY_UPDATE} with short rows of replicas. */
+    public static final int REGISTRY_ROWS = 51;
+
+    /** Like {@link #REGISTRY_DIGEST} with more ranges; answered by {@link #REGISTRY_ROWS}. */
+    public static final int REGISTRY_RANGE_DIGESTS = 52;
+
     /** An edge renews its lease with its home. */
     public static final int EDGE_LEASE_RENEWAL = 60;
 
@@ -64,6 +70,15 @@
     /** An edge sends a command of a singleton role to the core. */
     public static final int EDGE_REQUEST = 66;
 
+    /** Like {@link #REPLICA_UPDATE} with replicas that changed, in short rows. */
+    public static final int REPLICA_CHANGES = 67;
+
+    /** An edge tells its home what it has: the edition, and digests of its replicas by range. */
+    public static final int STATE_SYNC_REQUEST = 68;
+
+    /** From a home to an edge: the replicas of the ranges that differ, in short rows. */
+    public static final int REPLICA_RANGES = 69;
+
     /** An edge reports its own part of the load to its home. */
     public static final int LOAD_SAMPLE = 80;
 
--- a/common/src/main/java/martenloom/common/link/PeerLink.java
+++ b/common/src/main/java/martenloom/common/link/PeerLink.java
@@ -37,6 +37,7 @@
     private int buffered;
     private int unsentBytes;
     private boolean open = true;
+    private boolean readsShortForms;
     private long lastReceivedUs = Clocks.nowUs();
     private Object attachment = "";
     private String peer;
@@ -72,6 +73,15 @@
         this.attachment = attachment;
     }
 
+    /** Whether the peer has said that it reads the short forms of records. */
+    public boolean readsShortForms() {
+        return readsShortForms;
+    }
+
+    public void setReadsShortForms(boolean readsShortForms) {
+        this.readsShortForms = readsShortForms;
+    }
+
     /** The IP address of the peer, or the name that it has given itself. */
     public String peer() {
         return peer;
--- a/core/src/main/java/martenloom/core/CoreDaemon.java
+++ b/core/src/main/java/martenloom/core/CoreDaemon.java
@@ -244,6 +244,8 @@
             case RecordType.HELLO -> peers.onHello(link, in);
             case RecordType.KNOWN_PEERS -> peers.dialAll(in.texts());
             case RecordType.PEER_FEATURES -> peers.onFeatures(link, in);
+            case RecordType.REGISTRY_ROWS -> updates.onRows(link, in);
+            case RecordType.REGISTRY_RANGE_DIGESTS -> updates.onRangeDigests(link, in);
             case RecordType.REGISTRY_LIVENESS -> updates.onLiveness(link, in);
             case RecordType.REGISTRY_UPDATE -> updates.onUpdate(link, in);
             case RecordType.CONFIRMED_REGISTRY_UPDATE -> updates.onConfirmedUpdate(link, in);
@@ -257,6 +259,8 @@
             case RecordType.LOAD_UPDATE -> load.onHomeUpdate(link, in);
             case RecordType.OVERLOAD_REPORT -> leaseRelay.onReport(link, record, in);
             case RecordType.RESYNC_REQUEST -> synchronizer.onResyncRequest(link, Clocks.nowUs());
+            case RecordType.STATE_SYNC_REQUEST ->
+                    synchronizer.onSyncRequest(link, in, Clocks.nowUs());
             case RecordType.EDGE_REQUEST -> forwarder.onEdgeCommand(link, in);
             case RecordType.LEASE_REQUEST -> leaseRelay.onRequest(link, in);
             case RecordType.LEASE_GRANT -> leaseRelay.onGrant(link, record, in);
--- a/core/src/main/java/martenloom/core/edge/ConfigurationPublisher.java
+++ b/core/src/main/java/martenloom/core/edge/ConfigurationPublisher.java
@@ -55,6 +55,18 @@
         sentRevision.put(edgeIp, state.configuration().revision());
     }
 
+    /**
+     * An edge has told the edition that it has: sends it the configuration if there is a newer one
+     * here.
+     */
+    void sendIfNewer(String edgeIp, PeerLink link, long edition) {
+        if (chain.committed().edition() > edition) {
+            sendComplete(edgeIp, link);
+        } else if (chain.committed().edition() == edition) {
+            sentRevision.put(edgeIp, chain.committed().configuration().revision());
+        }
+    }
+
     /** Whether an edge was sent the configuration on its current link. */
     public boolean isSentTo(String edgeIp) {
         return sentRevision.containsKey(edgeIp);
--- a/core/src/main/java/martenloom/core/peer/CorePeerLinks.java
+++ b/core/src/main/java/martenloom/core/peer/CorePeerLinks.java
@@ -11,11 +11,13 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import martenloom.common.clock.Clocks;
 import martenloom.common.codec.RecordReader;
 import martenloom.common.codec.RecordWriter;
 import martenloom.common.fleet.RecordType;
 import martenloom.common.link.OutgoingPeerLink;
+import martenloom.common.link.PeerFeatures;
 import martenloom.common.link.PeerLink;
 import martenloom.common.link.PeerLinkHandler;
 import martenloom.common.settings.IpPort;
@@ -30,9 +32,6 @@
  * record and answer it with the peers that they know. Runs on the reactor thread.
  */
 public final class CorePeerLinks {
-    /** The feature by which a peer says that it reads REGISTRY_LIVENESS. */
-    private static final int SHORT_FORMS = 1;
-
     private static final long REDIAL_US = 200_000;
 
     /** A link on which nothing was heard for so long is closed and opened again. */
@@ -99,7 +98,7 @@
 
     private void onConnected(String ip, PeerLink link) {
         link.send(hello());
-        link.send(new RecordWriter(RecordType.PEER_FEATURES).varint(SHORT_FORMS).bytes());
+        link.send(PeerFeatures.record());
         connectionListener.accept(ip);
     }
 
@@ -108,9 +107,14 @@
         connectionListener = listener;
     }
 
-    /** A peer tells what it reads beyond the first version. */
+    /** A core daemon or an edge tells what it reads beyond the first version, and is told so. */
     public void onFeatures(PeerLink link, RecordReader in) {
-        if ((in.varint() & SHORT_FORMS) != 0) {
+        if (link.readsShortForms()) {
+            return;
+        }
+        PeerFeatures.onRecord(link, in);
+        link.send(PeerFeatures.record());
+        if (link.readsShortForms()) {
             shortFormLinks.put(link.peer(), link);
         }
     }
@@ -196,11 +200,12 @@
         links.values().forEach(link -> link.send(record));
     }
 
-    /** Sends a record to one of the peers that are reached, each in its turn. */
-    public void sendToNext(byte[] record) {
-        var reached = links.values().stream().filter(link -> link.link().isPresent()).toList();
+    /** Sends the record for it to one of the peers that are reached, each in its turn. */
+    public void sendToNext(Function<String, byte[]> recordFor) {
+        var reached = links.keySet().stream().filter(ip -> link(ip).isPresent()).toList();
         if (!reached.isEmpty()) {
-            reached.get(turns++ % reached.size()).send(record);
+            var next = reached.get(turns++ % reached.size());
+            send(next, recordFor.apply(next));
         }
     }
 
--- a/core/src/main/java/martenloom/core/registry/Registry.java
+++ b/core/src/main/java/martenloom/core/registry/Registry.java
@@ -1,10 +1,12 @@
 package martenloom.core.registry;
 
+import it.unimi.dsi.fastutil.ints.IntArrayList;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.TreeSet;
 import martenloom.common.clock.Clocks;
 import martenloom.common.codec.RecordReader;
 import martenloom.common.codec.RecordWriter;
@@ -12,6 +14,7 @@
 import martenloom.common.fleet.EdgeRecord;
 import martenloom.common.fleet.RecordType;
 import martenloom.common.fleet.ReplicaRecord;
+import martenloom.common.fleet.ReplicaRows;
 
 /**
  * The registry of replicas and edges at one core daemon. Rows that come in directly are sent to the
@@ -150,15 +153,18 @@
         return updates.isEndPending();
     }
 
-    /** The record of the replicas that have changed since the last call, if there are any. */
-    public Optional<byte[]> pollChangedReplicas(long nowUs) {
+    /** The replicas that have changed since the last call, if there are any. */
+    public Optional<ReplicaChanges> pollChangedReplicas(long nowUs) {
         var changed = updates.pollReplicasForEdges();
         if (updates.pollDigestOutdated()) {
             replicaDigest = digestOfReplicas();
         }
         return changed.isEmpty()
                 ? Optional.empty()
-                : Optional.of(RegistryRecords.replicaUpdate(changed, false, nowUs));
+                : Optional.of(
+                        new ReplicaChanges(
+                                RegistryRecords.replicaUpdate(changed, false, nowUs),
+                                RegistryRecords.replicaChanges(changed, nowUs)));
     }
 
     /** The record of all replicas. */
@@ -166,6 +172,27 @@
         return RegistryRecords.replicaUpdate(replicas(), true, nowUs);
     }
 
+    /**
+     * What an edge lacks that has told its digests: all replicas of the ranges that differ, and
+     * those elsewhere that warm up or drain, since when these end is in no digest.
+     */
+    public byte[] replicasMissing(List<Integer> edgeDigests, long nowUs) {
+        var replicas = replicas();
+        var digests = DigestRanges.replicaDigests(replicas);
+        var ranges = new TreeSet<Integer>();
+        for (var range = 0; range < digests.length; range++) {
+            if (range >= edgeDigests.size() || edgeDigests.get(range) != digests[range]) {
+                ranges.add(range);
+            }
+        }
+        replicas.removeIf(
+                replica ->
+                        !ranges.contains(DigestRanges.fine(replica.id()))
+                                && !replica.draining()
+                                && replica.warmFromUs() <= nowUs);
+        return RegistryRecords.replicaRanges(ranges, replicas, nowUs);
+    }
+
     /**
      * What the copy of the replicas at an edge is compared by: the digest of all replicas as they
      * were when changes were last polled, so that an edge that has taken every update has the same.
@@ -218,6 +245,49 @@
         }
     }
 
+    /** Like {@link #acceptUpdate}, in short rows. */
+    public void acceptRows(RecordReader in, long sentUs) {
+        ReplicaRows.read(in, sentUs).forEach(replica -> accept(replica, false));
+        in.shortList(row -> accept(EdgeRecord.read(row, sentUs), false));
+    }
+
+    /** The record of the digests of our rows, by the ranges of the short forms. */
+    public byte[] rangeDigests() {
+        return new RecordWriter(RecordType.REGISTRY_RANGE_DIGESTS)
+                .shortList(IntArrayList.wrap(fineDigests()), RecordWriter::i32)
+                .bytes();
+    }
+
+    private int[] fineDigests() {
+        var digests = new int[DigestRanges.FINE_COUNT];
+        for (var shard : shards) {
+            shard.addDigestsTo(digests);
+        }
+        return digests;
+    }
+
+    /** The record of our rows of the ranges in which the digests of another daemon differ. */
+    public Optional<byte[]> answerRangeDigests(RecordReader in, long nowUs) {
+        var theirs = in.shortList(RecordReader::i32);
+        var ours = fineDigests();
+        var replicas = new ArrayList<ReplicaRecord>();
+        var edges = new ArrayList<EdgeRecord>();
+        for (var shard : shards) {
+            shard.copyReplicasTo(replicas);
+            shard.copyEdgesTo(edges);
+        }
+        replicas.removeIf(replica -> !differs(replica.id(), ours, theirs));
+        edges.removeIf(edge -> !differs(edge.ip(), ours, theirs));
+        return replicas.isEmpty() && edges.isEmpty()
+                ? Optional.empty()
+                : Optional.of(RegistryRecords.rows(replicas, edges, nowUs));
+    }
+
+    private static boolean differs(String key, int[] ours, List<Integer> theirs) {
+        var range = DigestRanges.fine(key);
+        return range >= theirs.size() || ours[range] != theirs.get(range);
+    }
+
     /** The record of the digests of our rows, by range. */
     public byte[] digests() {
         var out = new RecordWriter(RecordType.REGISTRY_DIGEST);
--- a/core/src/main/java/martenloom/core/registry/RegistryRecords.java
+++ b/core/src/main/java/martenloom/core/registry/RegistryRecords.java
@@ -5,6 +5,7 @@
 import martenloom.common.fleet.EdgeRecord;
 import martenloom.common.fleet.RecordType;
 import martenloom.common.fleet.ReplicaRecord;
+import martenloom.common.fleet.ReplicaRows;
 
 /**
  * Encodes rows of the registry for other daemons. Times in a row are ages and remainders, counted
@@ -23,6 +24,15 @@
                 .bytes();
     }
 
+    /** Like {@link #update}, for daemons that read short rows. */
+    static byte[] rows(
+            Collection<ReplicaRecord> replicas, Collection<EdgeRecord> edges, long nowUs) {
+        var out = new RecordWriter(RecordType.REGISTRY_ROWS).i64(nowUs);
+        return ReplicaRows.write(replicas, out, nowUs)
+                .shortList(edges, (writer, edge) -> edge.write(writer, nowUs))
+                .bytes();
+    }
+
     /** Heartbeats and renewals that say nothing new, for other core daemons. */
     static byte[] liveness(
             Collection<ReplicaRecord> replicas, Collection<EdgeRecord> edges, long nowUs) {
@@ -33,6 +43,20 @@
                 .bytes();
     }
 
+    /** Rows that have changed, for edges that read short rows. */
+    static byte[] replicaChanges(Collection<ReplicaRecord> replicas, long nowUs) {
+        return ReplicaRows.write(replicas, new RecordWriter(RecordType.REPLICA_CHANGES), nowUs)
+                .bytes();
+    }
+
+    /** All rows of some ranges, and rows beside them, for an edge that reads short rows. */
+    static byte[] replicaRanges(
+            Collection<Integer> ranges, Collection<ReplicaRecord> replicas, long nowUs) {
+        var out = new RecordWriter(RecordType.REPLICA_RANGES);
+        out.shortList(ranges, (writer, range) -> writer.varint(range));
+        return ReplicaRows.write(replicas, out, nowUs).bytes();
+    }
+
     /**
      * Rows for edges.
      *
--- a/core/src/main/java/martenloom/core/registry/RegistryShard.java
+++ b/core/src/main/java/martenloom/core/registry/RegistryShard.java
@@ -6,6 +6,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import martenloom.common.clock.Clocks;
+import martenloom.common.fleet.DigestRanges;
 import martenloom.common.fleet.EdgeRecord;
 import martenloom.common.fleet.ReplicaRecord;
 
@@ -140,7 +141,7 @@
     synchronized int digest() {
         var digest = 0;
         for (var replica : replicas.values()) {
-            digest += Objects.hash(replica.id(), replica.draining(), replica.ended());
+            digest += digestAmongPeers(replica);
         }
         for (var edge : edges.values()) {
             digest += edge.digest();
@@ -148,6 +149,20 @@
         return digest;
     }
 
+    private static int digestAmongPeers(ReplicaRecord replica) {
+        return Objects.hash(replica.id(), replica.draining(), replica.ended());
+    }
+
+    /** Adds the digests of the rows to those of the finer ranges. */
+    synchronized void addDigestsTo(int[] digests) {
+        for (var replica : replicas.values()) {
+            digests[DigestRanges.fine(replica.id())] += digestAmongPeers(replica);
+        }
+        for (var edge : edges.values()) {
+            digests[DigestRanges.fine(edge.ip())] += edge.digest();
+        }
+    }
+
     /** The sum of the digests of the replicas that have not ended. */
     synchronized int liveReplicaDigest() {
         var digest = 0;
--- a/core/src/main/java/martenloom/core/registry/RegistryUpdates.java
+++ b/core/src/main/java/martenloom/core/registry/RegistryUpdates.java
@@ -104,7 +104,9 @@
         var anyUnchanged = !unchangedReplicas.isEmpty() || !unchangedEdges.isEmpty();
         var changedRows =
                 anyChanged
-                        ? Optional.of(update(changedReplicas, changedEdges, nowUs))
+                        ? Optional.of(
+                                RegistryRecords.rows(
+                                        changedReplicas.values(), changedEdges.values(), nowUs))
                         : Optional.<byte[]>empty();
         var liveness =
                 anyUnchanged
@@ -115,18 +117,15 @@
         changedReplicas.putAll(unchangedReplicas);
         changedEdges.putAll(unchangedEdges);
         var allRows =
-                anyUnchanged
-                        ? Optional.of(update(changedReplicas, changedEdges, nowUs))
-                        : changedRows;
+                anyChanged || anyUnchanged
+                        ? Optional.of(
+                                RegistryRecords.update(
+                                        changedReplicas.values(), changedEdges.values(), nowUs))
+                        : Optional.<byte[]>empty();
         changedReplicas.clear();
         unchangedReplicas.clear();
         changedEdges.clear();
         unchangedEdges.clear();
         return new PeerUpdate(changedRows, liveness, allRows);
     }
-
-    private static byte[] update(
-            Map<String, ReplicaRecord> replicas, Map<String, EdgeRecord> edges, long nowUs) {
-        return RegistryRecords.update(replicas.values(), edges.values(), nowUs);
-    }
 }
--- a/core/src/main/java/martenloom/core/registry/ReplicaUpdatePublisher.java
+++ b/core/src/main/java/martenloom/core/registry/ReplicaUpdatePublisher.java
@@ -42,7 +42,15 @@
 
     /** Sends the replicas that have changed since the last call to the edges of this home. */
     public void publishToEdges(long nowUs) {
-        registry.pollChangedReplicas(nowUs).ifPresent(edges::sendAll);
+        registry.pollChangedReplicas(nowUs)
+                .ifPresent(
+                        changes ->
+                                edges.forEach(
+                                        (edgeIp, link) ->
+                                                link.send(
+                                                        link.readsShortForms()
+                                                                ? changes.shortRows()
+                                                                : changes.rows())));
     }
 
     /**
@@ -72,7 +80,23 @@
 
     /** Sends the digests of our rows to one core daemon, which answers with what we lack. */
     public void sendDigests() {
-        peers.sendToNext(registry.digests());
+        peers.sendToNext(
+                ip -> peers.readsShortForms(ip) ? registry.rangeDigests() : registry.digests());
+    }
+
+    /** Short rows from another core daemon, which are as old as those of {@link #onUpdate}. */
+    public void onRows(PeerLink link, RecordReader in) {
+        var nowUs = Clocks.nowUs();
+        registry.acceptRows(in, nowUs - link.transitDelay().excessDelayUs(in.i64(), nowUs));
+        if (registry.isEndPending()) {
+            publishToEdges(nowUs);
+        }
+    }
+
+    /** Answers digests by the ranges of the short forms with our rows of those that differ. */
+    public void onRangeDigests(PeerLink link, RecordReader in) {
+        registry.answerRangeDigests(in, Clocks.nowUs())
+                .ifPresent(rows -> peers.send(link.peer(), rows));
     }
 
     /** Answers the digests of another core daemon with our rows of the ranges that differ. */
--- a/edge/src/main/java/martenloom/edge/EdgeDaemon.java
+++ b/edge/src/main/java/martenloom/edge/EdgeDaemon.java
@@ -15,6 +15,7 @@
 import martenloom.common.codec.RecordReader;
 import martenloom.common.codec.RecordWriter;
 import martenloom.common.fleet.RecordType;
+import martenloom.common.link.PeerFeatures;
 import martenloom.common.link.PeerLink;
 import martenloom.common.link.PeerLinkHandler;
 import martenloom.common.link.PeerLinks;
@@ -65,6 +66,8 @@
                     RecordType.EDGE_LEASE_RESPONSE,
                     RecordType.CONFIGURATION,
                     RecordType.REPLICA_UPDATE,
+                    RecordType.REPLICA_CHANGES,
+                    RecordType.REPLICA_RANGES,
                     RecordType.LEASE_GRANT,
                     RecordType.JOB_LIST,
                     RecordType.ORDER_RESPONSE,
@@ -111,7 +114,7 @@
         renewals =
                 new RenewalWriter(
                         settings, dispatcher, replicaTable, readiness, roles, incarnation);
-        home = new HomeConnection(settings, loop, this, this::writeRenewal);
+        home = new HomeConnection(settings, loop, this, this::writeRenewal, this::writeSyncRequest);
         core = new CoreClient(loop, home);
         scaler =
                 new RegionScaler(
@@ -220,6 +223,10 @@
                 configuration.revision(), subscription.jobsExist() || jobs.isRunningAny());
     }
 
+    private byte[] writeSyncRequest() {
+        return subscription.syncRequest();
+    }
+
     private void sendSample() {
         samples++;
         if (RingLog.ECHO && samples % SAMPLES_PER_LOG == 0) {
@@ -259,6 +266,10 @@
     @Override
     public void onRecord(PeerLink link, byte[] record) {
         var in = new RecordReader(record, true);
+        if (in.type() == RecordType.PEER_FEATURES) {
+            PeerFeatures.onRecord(link, in);
+            return;
+        }
         if (home.isCandidate(link)) {
             if (in.type() == RecordType.EDGE_LEASE_RESPONSE) {
                 subscription.onResponse(link, in);
@@ -280,6 +291,8 @@
             case RecordType.EDGE_LEASE_RESPONSE -> subscription.onResponse(link, in);
             case RecordType.CONFIGURATION -> configuration.onConfiguration(in);
             case RecordType.REPLICA_UPDATE -> subscription.onReplicas(in);
+            case RecordType.REPLICA_CHANGES -> subscription.onChanges(in);
+            case RecordType.REPLICA_RANGES -> subscription.onRanges(in);
             case RecordType.LEASE_GRANT -> onGrant(in);
             case RecordType.JOB_LIST -> jobs.onListings(in.list(JobListing::read));
             case RecordType.ORDER_RESPONSE -> core.onReply(link, in);
--- a/edge/src/main/java/martenloom/edge/home/HomeConnection.java
+++ b/edge/src/main/java/martenloom/edge/home/HomeConnection.java
@@ -10,6 +10,7 @@
 import martenloom.common.codec.RecordWriter;
 import martenloom.common.fleet.RecordType;
 import martenloom.common.link.OutgoingPeerLink;
+import martenloom.common.link.PeerFeatures;
 import martenloom.common.link.PeerLink;
 import martenloom.common.link.PeerLinkHandler;
 import martenloom.common.log.RingLog;
@@ -40,6 +41,7 @@
     private final Eventloop loop;
     private final PeerLinkHandler handler;
     private final Supplier<byte[]> renewal;
+    private final Supplier<byte[]> syncRequest;
     private final HomeCandidates candidates;
     private Optional<OutgoingPeerLink> home = Optional.empty();
     private String homeIp = "";
@@ -49,6 +51,9 @@
 
     private long homePickedUs;
 
+    /** The link on which the state was last asked for. */
+    private Optional<PeerLink> stateRequestedOn = Optional.empty();
+
     /** Whether all replicas were received since the last home that was never a candidate. */
     private boolean synced;
 
@@ -65,13 +70,19 @@
      *
      * @param handler receives the records of the home and of the candidate
      * @param renewal writes the record by which this edge subscribes and renews its subscription
+     * @param syncRequest writes the record by which this edge tells what it has
      */
     public HomeConnection(
-            Settings settings, Eventloop loop, PeerLinkHandler handler, Supplier<byte[]> renewal) {
+            Settings settings,
+            Eventloop loop,
+            PeerLinkHandler handler,
+            Supplier<byte[]> renewal,
+            Supplier<byte[]> syncRequest) {
         this.settings = settings;
         this.loop = loop;
         this.handler = handler;
         this.renewal = renewal;
+        this.syncRequest = syncRequest;
         candidates = new HomeCandidates(settings);
     }
 
@@ -110,9 +121,25 @@
         home.ifPresent(dial -> dial.send(record));
     }
 
-    /** Asks the home for its complete state. */
-    public void requestCompleteState() {
-        send(new RecordWriter(RecordType.RESYNC_REQUEST).bytes());
+    /** Asks the home for what this edge lacks, or for everything where it is an older daemon. */
+    public void requestState() {
+        stateRequestedOn = link();
+        send(
+                link().filter(PeerLink::readsShortForms).isPresent()
+                        ? syncRequest.get()
+                        : new RecordWriter(RecordType.RESYNC_REQUEST).bytes());
+    }
+
+    /**
+     * The home has answered on this link. One that reads short forms sends no state of its own
+     * accord, so it is asked once on each link.
+     */
+    public void onAnswered(PeerLink link) {
+        if (link.readsShortForms()
+                && isHome(link)
+                && stateRequestedOn.filter(asked -> asked == link).isEmpty()) {
+            requestState();
+        }
     }
 
     /** Whether all replicas were received since the last home that was never a candidate. */
@@ -184,7 +211,10 @@
                 loop,
                 IpPort.parse("home", ip + ":" + settings.firstInternalPort()),
                 REDIAL_US,
-                link -> link.send(renewal.get()),
+                link -> {
+                    link.send(PeerFeatures.record());
+                    link.send(renewal.get());
+                },
                 handler);
     }
 
@@ -255,6 +285,6 @@
         homeFreshUs = homePickedUs;
         candidate = Optional.empty();
         old.ifPresent(OutgoingPeerLink::stop);
-        requestCompleteState();
+        requestState();
     }
 }
--- a/edge/src/main/java/martenloom/edge/replica/ReplicaTable.java
+++ b/edge/src/main/java/martenloom/edge/replica/ReplicaTable.java
@@ -227,6 +227,11 @@
         replica.connections().closeIdle();
     }
 
+    /** The last record of each replica. */
+    public List<ReplicaRecord> registrations() {
+        return replicas.values().stream().map(ReplicaEndpoint::registration).toList();
+    }
+
     /** The sum of the digests of all records, by which an edge and its home compare them. */
     public int digest() {
         if (digestOutdated) {
--- a/edge/src/main/java/martenloom/edge/subscription/ConfigurationReceiver.java
+++ b/edge/src/main/java/martenloom/edge/subscription/ConfigurationReceiver.java
@@ -60,7 +60,7 @@
         }
         if (newRevision > revision) {
             if (routingText.isEmpty()) {
-                home.requestCompleteState();
+                home.requestState();
                 return;
             }
             dispatcher.onTable(RoutingLanguage.compile(routingText));
--- a/edge/src/main/java/martenloom/edge/subscription/EdgeSubscription.java
+++ b/edge/src/main/java/martenloom/edge/subscription/EdgeSubscription.java
@@ -1,11 +1,16 @@
 package martenloom.edge.subscription;
 
+import it.unimi.dsi.fastutil.ints.IntArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
+import java.util.function.Predicate;
 import martenloom.common.clock.Clocks;
 import martenloom.common.codec.RecordReader;
+import martenloom.common.codec.RecordWriter;
+import martenloom.common.fleet.DigestRanges;
+import martenloom.common.fleet.RecordType;
 import martenloom.common.fleet.ReplicaRecord;
+import martenloom.common.fleet.ReplicaRows;
 import martenloom.common.link.PeerLink;
 import martenloom.common.log.RingLog;
 import martenloom.common.settings.Settings;
@@ -79,6 +84,7 @@
         if (home.isCandidate(link) && !home.judgeCandidate(staleUs)) {
             return;
         }
+        home.onAnswered(link);
         var homeEdition = in.i64();
         var homeDigest = in.i32();
         readEdges(in);
@@ -114,7 +120,7 @@
         mismatches = same ? 0 : mismatches + 1;
         if (mismatches > MAX_MISMATCHES) {
             mismatches = 0;
-            home.requestCompleteState();
+            home.requestState();
         }
     }
 
@@ -156,13 +162,39 @@
             home.onSynced();
             var known = new HashSet<String>();
             replicas.forEach(replica -> known.add(replica.id()));
-            removeUnknown(known, now);
+            removeUnknown(known::contains, now);
         }
     }
 
-    private void removeUnknown(Set<String> known, long now) {
+    /** Takes replicas of the home that have changed, in short rows. */
+    public void onChanges(RecordReader in) {
+        ReplicaRows.read(in, Clocks.nowUs()).forEach(dispatcher::onReplica);
+    }
+
+    /** Takes what the home has answered to the digests of this edge. */
+    public void onRanges(RecordReader in) {
+        var now = Clocks.nowUs();
+        var ranges = new HashSet<>(in.shortList(RecordReader::varint32));
+        var replicas = ReplicaRows.read(in, now);
+        replicas.forEach(dispatcher::onReplica);
+        home.onSynced();
+        var known = new HashSet<String>();
+        replicas.forEach(replica -> known.add(replica.id()));
+        removeUnknown(id -> known.contains(id) || !ranges.contains(DigestRanges.fine(id)), now);
+    }
+
+    /** The record by which this edge tells its home what it has. */
+    public byte[] syncRequest() {
+        var digests = DigestRanges.replicaDigests(replicaTable.registrations());
+        return new RecordWriter(RecordType.STATE_SYNC_REQUEST)
+                .i64(configuration.edition())
+                .shortList(IntArrayList.wrap(digests), RecordWriter::i32)
+                .bytes();
+    }
+
+    private void removeUnknown(Predicate<String> isKnown, long now) {
         for (var replica : List.copyOf(replicaTable.all())) {
-            if (!known.contains(replica.id())
+            if (!isKnown.test(replica.id())
                     && now - replica.reachability().heardUs() > KEEP_HEARD_US
                     && replica.attemptCount() == 0) {
                 replicaTable.remove(replica);
