--- a/simulation/src/main/java/martenloom/simulation/SimulatedDay.java
+++ b/simulation/src/main/java/martenloom/simulation/SimulatedDay.java
@@ -36,6 +36,7 @@
     private final LivenessMonitor monitor;
     private final Set<FaultKind> injectedKinds = EnumSet.noneOf(FaultKind.class);
     private long steps;
+    private long ballotAfterWarmUp;
 
     private SimulatedDay(FaultSchedule schedule, long maxSteps) {
         this.schedule = schedule;
@@ -52,7 +53,8 @@
     public static DayResult run(FaultSchedule schedule, long maxSteps) {
         var day = new SimulatedDay(schedule, maxSteps);
         var violation = day.findViolation();
-        return new DayResult(schedule, day.steps, day.injectedKinds, violation);
+        var ballots = day.cluster.highestBallotNumber() - day.ballotAfterWarmUp;
+        return new DayResult(schedule, day.steps, day.injectedKinds, ballots, violation);
     }
 
     /** Runs the day; whatever the code under test throws is a violation as well. */
@@ -77,6 +79,7 @@
         cluster.startAll();
         workload.start();
         warmUp();
+        ballotAfterWarmUp = cluster.highestBallotNumber();
         var beganUs = events.nowUs();
         schedule.faults().forEach(fault -> events.at(beganUs + fault.atUs(), () -> inject(fault)));
         monitor.start();
--- a/simulation/src/main/java/martenloom/simulation/cluster/SimulatedCluster.java
+++ b/simulation/src/main/java/martenloom/simulation/cluster/SimulatedCluster.java
@@ -102,6 +102,15 @@
         return running(address).filter(member -> member.chain().isHead()).isPresent();
     }
 
+    /** The highest number of a ballot that a running member has promised. */
+    public long highestBallotNumber() {
+        return slots.stream()
+                .flatMap(address -> running(address).stream())
+                .mapToLong(member -> member.chain().memberState().promised().number())
+                .max()
+                .orElse(0);
+    }
+
     /** The running members of the slots, one after the other in words. */
     public String describe() {
         var text = new StringBuilder();
--- a/simulation/src/main/java/martenloom/simulation/faults/FaultInjector.java
+++ b/simulation/src/main/java/martenloom/simulation/faults/FaultInjector.java
@@ -80,6 +80,7 @@
             case UNPLANNED_REPLACEMENT -> replacements.replaceUnplanned(slot);
             case TWO_REPLACEMENTS -> replacements.replaceTwo(fault);
             case CONFIGURATION_STORM -> storm(slot, choice);
+            case PROCESSOR_QUOTA -> machines.limitProcessors(target, choice, lastsUs);
         };
     }
 
--- a/simulation/src/main/java/martenloom/simulation/faults/MachineFaults.java
+++ b/simulation/src/main/java/martenloom/simulation/faults/MachineFaults.java
@@ -14,6 +14,15 @@
 
     static final long RETURN_STEP_US = 1_000_000;
 
+    private static final long QUOTA_PERIOD_US = 100_000;
+    private static final long SHORTEST_PAUSE_US = 20_000;
+
+    /** A process that has a third of a processor and always wants more stands still for so long. */
+    private static final long LONGEST_PAUSE_US = 67_000;
+
+    /** All machines at once, all in turn, or one. */
+    private static final int QUOTA_VARIANTS = 3;
+
     private final SimulatedCluster cluster;
     private final EventQueue events;
     private final ActiveFaults active;
@@ -85,6 +94,34 @@
         return disk.isPresent();
     }
 
+    /**
+     * Lets processes stand still for a part of each tenth of a second: those of all machines at
+     * once, those of all machines in turn, or that of one machine.
+     *
+     * @param target the machine, where it is one
+     */
+    boolean limitProcessors(String target, int choice, long durationUs) {
+        var together = choice % QUOTA_VARIANTS == 0;
+        var addresses =
+                together || choice % QUOTA_VARIANTS == 1 ? cluster.addresses() : List.of(target);
+        var pauseUs = SHORTEST_PAUSE_US + choice % (LONGEST_PAUSE_US - SHORTEST_PAUSE_US);
+        for (var atUs = 0L; atUs < durationUs; atUs += QUOTA_PERIOD_US) {
+            for (var i = 0; i < addresses.size(); i++) {
+                var address = addresses.get(i);
+                var shiftUs = together ? 0 : i * QUOTA_PERIOD_US / addresses.size();
+                events.after(atUs + shiftUs, () -> pause(address, pauseUs));
+            }
+        }
+        active.during(durationUs + QUOTA_PERIOD_US, () -> {}, () -> {});
+        return true;
+    }
+
+    private void pause(String address, long pauseUs) {
+        cluster.running(address)
+                .filter(member -> !member.isFrozen())
+                .ifPresent(member -> member.freeze(pauseUs));
+    }
+
     boolean freeze(String address, long durationUs) {
         var member = cluster.running(address);
         member.ifPresent(
--- a/simulation/src/main/java/martenloom/simulation/schedule/FaultKind.java
+++ b/simulation/src/main/java/martenloom/simulation/schedule/FaultKind.java
@@ -65,7 +65,12 @@
     /** Two planned replacements, one some seconds after the other. */
     TWO_REPLACEMENTS("replace-twice"),
     /** An operator replaces the configuration many times without a pause. */
-    CONFIGURATION_STORM("change-storm");
+    CONFIGURATION_STORM("change-storm"),
+    /**
+     * The processor of a machine, or of all, is a quota: once it is spent, the process stands still
+     * for the rest of each tenth of a second.
+     */
+    PROCESSOR_QUOTA("processor-quota");
 
     private final String word;
 
--- a/simulation/src/test/java/martenloom/simulation/ScheduleShrinkerTest.java
+++ b/simulation/src/test/java/martenloom/simulation/ScheduleShrinkerTest.java
@@ -25,7 +25,7 @@
                 schedule.faults().contains(fault(one)) && schedule.faults().contains(fault(other));
         var violation = new InvariantViolation(Invariant.ONE_WINNER, "both");
         return new DayResult(
-                schedule, 1, Set.of(), fails ? Optional.of(violation) : Optional.empty());
+                schedule, 1, Set.of(), 0, fails ? Optional.of(violation) : Optional.empty());
     }
 
     @Test
--- a/simulation/src/test/java/martenloom/simulation/SimulationTest.java
+++ b/simulation/src/test/java/martenloom/simulation/SimulationTest.java
@@ -17,6 +17,7 @@
 /** A fixed set of simulated days, bounded in steps, and the simulation's own promises. */
 final class SimulationTest {
     private static final long STEPS_OF_A_DAY = 100_000;
+    private static final int DAYS_OF_QUOTA = 4;
     private static final List<FaultKind> ALL = List.of(FaultKind.values());
     private final ByteArrayOutputStream printed = new ByteArrayOutputStream();
 
@@ -64,4 +65,18 @@
                     kind::word);
         }
     }
+
+    @ParameterizedTest
+    @CsvSource({"1, 3", "2, 5", "3, 9"})
+    void aProcessorQuotaAloneMakesNobodySeekAnotherView(long seed, int members) {
+        var quota = List.of(FaultKind.PROCESSOR_QUOTA);
+        for (var day = 0; day < DAYS_OF_QUOTA; day++) {
+            var result =
+                    SimulatedDay.run(
+                            FaultSchedule.draw(seed + day * 100L, members, quota), Long.MAX_VALUE);
+            assertTrue(result.violation().isEmpty(), () -> result.violation().toString());
+            assertFalse(result.injectedKinds().isEmpty());
+            assertEquals(0, result.ballots(), "seed " + result.schedule().seed());
+        }
+    }
 }
