Own part of unchanged totals, and prefix owners reported once a second

Read in the code: a total that stays the same while our own part of it changes was not told again, so the load of the others stayed wrong until it changed; and two edges that chose different owners for a prefix at the same time each took the other's, for up to 10 s.

Change: an update says whether it is complete, and then the own part is subtracted anew wherever it changed; an owner is reported again after 1 s.

--- a/common/src/main/java/martenloom/common/load/LoadPublication.java
+++ b/common/src/main/java/martenloom/common/load/LoadPublication.java
@@ -70,14 +70,16 @@
         number++;
         edgeCount = current.edgeCount();
         var firstNewIndex = ids.size();
+        var differences = differences(current);
         var changes = new ArrayList<LoadUpdate.Change>();
-        for (var difference : largestDifferences(current, maxChanges)) {
+        for (var difference : largest(differences, maxChanges)) {
             changes.add(tell(difference));
         }
         return new LoadUpdate(
                         publication,
                         number,
                         false,
+                        changes.size() == differences.size(),
                         edgeCount,
                         firstNewIndex,
                         List.copyOf(ids.subList(firstNewIndex, ids.size())),
@@ -98,6 +100,7 @@
                         publication,
                         number,
                         true,
+                        false,
                         edgeCount,
                         0,
                         List.copyOf(ids),
@@ -134,7 +137,7 @@
         return Optional.of(toldModels);
     }
 
-    private List<Difference> largestDifferences(LoadSummary current, int maxChanges) {
+    private List<Difference> differences(LoadSummary current) {
         var differences = new ArrayList<Difference>();
         current.replicaLoads()
                 .forEach((replica, load) -> addDifference(differences, replica, load));
@@ -143,6 +146,10 @@
                 addDifference(differences, replica, NONE);
             }
         }
+        return differences;
+    }
+
+    private static List<Difference> largest(List<Difference> differences, int maxChanges) {
         if (differences.size() <= maxChanges) {
             return differences;
         }
--- a/common/src/main/java/martenloom/common/load/LoadSubscription.java
+++ b/common/src/main/java/martenloom/common/load/LoadSubscription.java
@@ -16,6 +16,7 @@
     private long publication;
     private long number;
     private boolean inSync;
+    private boolean complete;
 
     /** What an update has done. */
     public enum Outcome {
@@ -40,6 +41,11 @@
         return publication;
     }
 
+    /** Whether every load is known as it was when the last update was made. */
+    public boolean isComplete() {
+        return complete;
+    }
+
     /** Whether the next update can be taken. */
     public boolean isInSync() {
         return inSync;
@@ -52,7 +58,7 @@
      */
     public Outcome take(RecordReader in, Set<String> changed) {
         var update = LoadUpdate.read(in);
-        if (update.snapshot() ? !update.isComplete() : !follows(update)) {
+        if (update.snapshot() ? !update.namesAllIds() : !follows(update)) {
             inSync = false;
             return Outcome.MISSED_SOME;
         }
@@ -62,6 +68,7 @@
         publication = update.publication();
         number = update.number();
         inSync = true;
+        complete = update.complete();
         ids.addAll(update.newIds());
         loads.setEdgeCount(update.edgeCount());
         update.inFlightByModel().ifPresent(loads::setInFlightByModel);
--- a/common/src/main/java/martenloom/common/load/LoadUpdate.java
+++ b/common/src/main/java/martenloom/common/load/LoadUpdate.java
@@ -14,6 +14,7 @@
  *
  * @param publication a random number that no other publication uses
  * @param number counts the updates of a publication; a snapshot has that of the last update in it
+ * @param complete whether every load is now told as it is, none being left for the next update
  * @param edgeCount how many edges are summed up
  * @param firstNewIndex the index of the first of the new ids
  * @param inFlightByModel requests in flight by "region/model", if they are sent with this update
@@ -22,6 +23,7 @@
         long publication,
         long number,
         boolean snapshot,
+        boolean complete,
         int edgeCount,
         int firstNewIndex,
         List<String> newIds,
@@ -29,6 +31,7 @@
         Optional<Map<String, Integer>> inFlightByModel) {
     private static final int SNAPSHOT_FLAG = 1;
     private static final int MODELS_FLAG = 2;
+    private static final int COMPLETE_FLAG = 4;
 
     /** The load of one replica, in place of what was published of it before. */
     record Change(int index, ReplicaLoadSummary load) {
@@ -65,7 +68,7 @@
     }
 
     /** Whether a snapshot names every replica that it uses. */
-    boolean isComplete() {
+    boolean namesAllIds() {
         return firstNewIndex == 0 && namesIdsBelow(newIds.size());
     }
 
@@ -74,6 +77,7 @@
                 .varint(number)
                 .u8(
                         (snapshot ? SNAPSHOT_FLAG : 0)
+                                | (complete ? COMPLETE_FLAG : 0)
                                 | (inFlightByModel.isPresent() ? MODELS_FLAG : 0))
                 .varint(edgeCount)
                 .varint(firstNewIndex)
@@ -96,6 +100,7 @@
                 publication,
                 number,
                 (flags & SNAPSHOT_FLAG) != 0,
+                (flags & COMPLETE_FLAG) != 0,
                 in.varint32(),
                 in.varint32(),
                 in.shortList(RecordReader::shortText),
--- a/edge/src/main/java/martenloom/edge/load/ClusterLoadView.java
+++ b/edge/src/main/java/martenloom/edge/load/ClusterLoadView.java
@@ -47,6 +47,9 @@
     /** Replicas whose load was told before their registration came. */
     private final Set<String> unregistered = new HashSet<>();
 
+    /** The sample of this edge that the last update named. */
+    private LoadSummary ownBefore = new LoadSummary();
+
     private LoadSummary total = new LoadSummary();
     private long totalAtUs;
     private long askedUs = -ASK_AGAIN_US;
@@ -97,6 +100,12 @@
         if (begins) {
             replicaTable.all().forEach(replica -> applyLoad(replica, own));
         }
+        if (subscription.isComplete()) {
+            // What was not told again is as it was, but our own part of it may have changed.
+            changed.addAll(own.replicaLoads().keySet());
+            changed.addAll(ownBefore.replicaLoads().keySet());
+        }
+        ownBefore = own;
         changed.addAll(unregistered);
         unregistered.clear();
         changed.forEach(id -> applyChange(id, own));
--- a/edge/src/main/java/martenloom/edge/replica/PrefixOwners.java
+++ b/edge/src/main/java/martenloom/edge/replica/PrefixOwners.java
@@ -16,8 +16,12 @@
     private static final int MAX_PREFIXES = 4096;
     private static final int MAX_UNREPORTED = 256;
 
-    /** An owner that has not changed is reported again only after so long, by one of the edges. */
-    private static final long REPORT_AGAIN_US = 10_000_000;
+    /**
+     * An owner that has not changed is reported again only after so long, by one of the edges. Two
+     * edges that choose different owners at the same time each hear of the other's choice, in an
+     * order that depends on their homes; the next report ends that.
+     */
+    private static final long REPORT_AGAIN_US = 1_000_000;
 
     /** The owner of a prefix and when it was last reported, by this edge or to it. */
     private record Owner(String replica, long reportedUs) {}
