Orders without a base act only for callers that still wait

Cause: such an order gets the version committed where and when it is read. That fences copies that wait between daemons, not one that waits in front of the first daemon. Only its caller, who closed the connection after a second, tells it from a new order, and nobody looked.

Change: the daemon waits 0.5 s for the end of the connection and submits the order, then and at each further try, only if the caller's side is open. The end follows held-up bytes by a round trip or a retransmission.

--- a/core/src/main/java/martenloom/core/CoreDaemon.java
+++ b/core/src/main/java/martenloom/core/CoreDaemon.java
@@ -90,6 +90,7 @@
     private final PlacementService placement;
     private final ShellQueries shellQueries;
     private final GracefulShutdown shutdown;
+    private final ControlApi controlApi;
     private final ControlServer controlServer;
 
     /** A daemon that does nothing until {@link #start} is called. */
@@ -122,7 +123,8 @@
         warmupPermits = new WarmupPermits(Clocks.nowUs(), firstStart);
         edgeLeases = edgeLeases(startedUs, routes);
         shellQueries = new ShellQueries(settings, chain, registry, placement, edges);
-        controlServer = controlServer(routes);
+        controlApi = controlApi(routes);
+        controlServer = new ControlServer(loop, settings, controlApi, shutdown::hasBegun);
     }
 
     private EdgeLeaseRenewals edgeLeases(long startedUs, CompiledRoutes routes) {
@@ -138,7 +140,7 @@
                 registry, synchronizer, responder, regionJobs, updates, leaseRelay);
     }
 
-    private ControlServer controlServer(CompiledRoutes routes) {
+    private ControlApi controlApi(CompiledRoutes routes) {
         var ends = new ReplicaEndAnnouncer(loop, chain, registry, peers, peerRequests, updates);
         var services =
                 new ControlServices(
@@ -151,7 +153,7 @@
                         forwarder,
                         ends,
                         this::acceptsHeartbeats);
-        return new ControlServer(loop, settings, new ControlApi(services), shutdown::hasBegun);
+        return new ControlApi(services);
     }
 
     // ---- start and end
@@ -190,7 +192,7 @@
     }
 
     private boolean hasCallers() {
-        return chainDriver.hasCallers() || !peerRequests.isEmpty();
+        return controlApi.hasCallers() || chainDriver.hasCallers() || !peerRequests.isEmpty();
     }
 
     /**
--- a/core/src/main/java/martenloom/core/api/CommandCalls.java
+++ b/core/src/main/java/martenloom/core/api/CommandCalls.java
@@ -4,6 +4,7 @@
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
+import java.util.function.BooleanSupplier;
 import martenloom.common.clock.Clocks;
 import martenloom.common.log.RingLog;
 import martenloom.core.chain.ChainMember;
@@ -23,9 +24,17 @@
     /** For so long after the call a command that finds no head is submitted again. */
     private static final long RETRY_WINDOW_US = 850_000;
 
+    /**
+     * So long an order without a base waits for the end of its connection, which comes behind the
+     * call when the network was late with both: by a round trip, or by a retransmission. With the
+     * write that follows it stays below the second after which a caller turns to another daemon.
+     */
+    private static final long LATE_END_US = 500_000;
+
     private final Eventloop loop;
     private final ChainMember chain;
     private final CommandForwarder forwarder;
+    private int waitingForEnd;
 
     CommandCalls(Eventloop loop, ChainMember chain, CommandForwarder forwarder) {
         this.loop = loop;
@@ -33,25 +42,59 @@
         this.forwarder = forwarder;
     }
 
+    /** Submits a command of which a copy that comes late does nothing. */
+    Promise<HttpResponse> submit(Command command) {
+        var response = new SettablePromise<HttpResponse>();
+        submit(StampedCommand.of(command), Clocks.nowUs(), () -> true, response);
+        return response;
+    }
+
     /**
-     * Submits a command. An operator's order gets the version on which it is accepted here, and
-     * keeps it when it is submitted again.
+     * Submits an operator's order without a base, of which nothing but its caller tells a new one
+     * from a copy that comes late: callers close the connection when they turn to another daemon,
+     * so the order is carried out only if the caller still waits a while after the call. The order
+     * gets the version on which it is accepted here, and keeps it when it is submitted again.
+     *
+     * @param caller the caller, whose call was read to its end
      */
-    Promise<HttpResponse> submit(Command command) {
+    Promise<HttpResponse> submitWhileWaiting(Command order, Caller caller) {
+        var calledUs = Clocks.nowUs();
+        var stamped = chain.committed().accepted(order);
         var response = new SettablePromise<HttpResponse>();
-        submit(chain.committed().accepted(command), Clocks.nowUs(), response);
+        waitingForEnd++;
+        Clocks.after(
+                loop,
+                LATE_END_US,
+                () -> {
+                    waitingForEnd--;
+                    submit(stamped, calledUs, caller::isWaiting, response);
+                });
         return response;
     }
 
+    /** Whether a caller waits for an order that was not submitted yet. */
+    boolean hasCallers() {
+        return waitingForEnd > 0;
+    }
+
     private void submit(
-            StampedCommand command, long calledUs, SettablePromise<HttpResponse> response) {
+            StampedCommand command,
+            long calledUs,
+            BooleanSupplier callerWaits,
+            SettablePromise<HttpResponse> response) {
+        if (!callerWaits.getAsBoolean()) {
+            refuseLateCopy(command, response);
+            return;
+        }
         forwarder.submit(
                 command,
                 (code, text) -> {
                     if (code == ResultCode.UNAVAILABLE
                             && Clocks.nowUs() - calledUs < RETRY_WINDOW_US) {
                         Clocks.after(
-                                loop, RETRY_PAUSE_US, () -> submit(command, calledUs, response));
+                                loop,
+                                RETRY_PAUSE_US,
+                                () -> submit(command, calledUs, callerWaits, response));
                     } else {
                         log(command, code, text);
                         response.set(response(code, text));
@@ -59,6 +102,13 @@
                 });
     }
 
+    private static void refuseLateCopy(
+            StampedCommand command, SettablePromise<HttpResponse> response) {
+        var reason = "the caller has closed the connection";
+        log(command, ResultCode.UNAVAILABLE, reason);
+        response.set(response(ResultCode.UNAVAILABLE, reason));
+    }
+
     private static void log(StampedCommand command, ResultCode code, String text) {
         RingLog.debug(
                 "request "
--- a/core/src/main/java/martenloom/core/api/ControlApi.java
+++ b/core/src/main/java/martenloom/core/api/ControlApi.java
@@ -49,6 +49,11 @@
         lookup = new LookupCalls(daemon.settings(), daemon.registry(), daemon.routes());
     }
 
+    /** Whether a caller waits for an order that was not submitted yet. */
+    public boolean hasCallers() {
+        return commands.hasCallers();
+    }
+
     @Override
     public Promise<HttpResponse> serve(HttpRequest request) {
         var segments = request.getPath().split("/");
@@ -60,13 +65,13 @@
                     operator.changeConfiguration(request, UpdateConfiguration::new);
             case "GET configuration/describe" -> commands.submit(new ReadConfiguration());
             case "POST evacuations/*/start" ->
-                    operator.evacuate(segments[SECOND], StartEvacuation::new);
+                    operator.evacuate(request, segments[SECOND], StartEvacuation::new);
             case "POST evacuations/*/finish" ->
-                    operator.evacuate(segments[SECOND], FinishEvacuation::new);
+                    operator.evacuate(request, segments[SECOND], FinishEvacuation::new);
             case "POST placements/*/*/unload" ->
-                    operator.place(segments[SECOND], segments[THIRD], Placing.UNLOAD);
+                    operator.place(request, segments[SECOND], segments[THIRD], Placing.UNLOAD);
             case "POST placements/*/*/load" ->
-                    operator.place(segments[SECOND], segments[THIRD], Placing.LOAD);
+                    operator.place(request, segments[SECOND], segments[THIRD], Placing.LOAD);
             case "POST instances/*/heartbeat" ->
                     ApiRequests.body(request)
                             .then(json -> replicas.heartbeat(segments[SECOND], json));
--- a/core/src/main/java/martenloom/core/api/ControlServer.java
+++ b/core/src/main/java/martenloom/core/api/ControlServer.java
@@ -48,6 +48,7 @@
         if (settings.listenAddresses().containsKey(DIRECTORY)) {
             addresses.add(IpPort.parse(DIRECTORY, settings.requiredListenAddress(DIRECTORY)));
         }
+        var callers = new CallerConnections();
         HttpServer.builder(
                         loop,
                         request ->
@@ -57,6 +58,8 @@
                 .withListenAddresses(List.copyOf(addresses))
                 .withKeepAliveTimeout(KEEP_ALIVE)
                 .withMaxBodySize(MAX_BODY_BYTES)
+                .withSocketInspector(callers.sockets())
+                .withInspector(callers)
                 .build()
                 .listen();
     }
--- a/core/src/main/java/martenloom/core/api/OperatorCalls.java
+++ b/core/src/main/java/martenloom/core/api/OperatorCalls.java
@@ -53,19 +53,21 @@
      *
      * @param segment the zone as the path names it
      */
-    Promise<HttpResponse> evacuate(String segment, Function<String, Command> order) {
+    Promise<HttpResponse> evacuate(
+            HttpRequest request, String segment, Function<String, Command> order) {
         var zone = ApiRequests.decode(segment);
         if (!settings.regionByZone().containsKey(zone)) {
             return ApiResponses.notFound("zone '" + zone + "' is not known");
         }
-        return commands.submit(order.apply(zone));
+        return submitWhileWaiting(request, order.apply(zone));
     }
 
     /**
      * Takes a region's replicas of a model out of service, or back into it; the head of the chain
      * checks what that strands. Region and model are given as the path names them.
      */
-    Promise<HttpResponse> place(String regionSegment, String modelSegment, Placing placing) {
+    Promise<HttpResponse> place(
+            HttpRequest request, String regionSegment, String modelSegment, Placing placing) {
         var region = ApiRequests.decode(regionSegment);
         var model = ApiRequests.decode(modelSegment);
         if (!settings.regionByZone().containsValue(region)) {
@@ -75,7 +77,13 @@
             return ApiResponses.refused(
                     commands.unknownStatus(), "model '" + model + "' is not known");
         }
-        return commands.submit(new SetPlacement(region + "/" + model, placing));
+        return submitWhileWaiting(request, new SetPlacement(region + "/" + model, placing));
+    }
+
+    /** Submits an order without a base once its call was read to its end. */
+    private Promise<HttpResponse> submitWhileWaiting(HttpRequest request, Command order) {
+        return ApiRequests.body(request)
+                .then(unused -> commands.submitWhileWaiting(order, Caller.of(request)));
     }
 
     private boolean isServed(String model) {
--- a/launcher/src/test/java/martenloom/launcher/harness/ControlPlaneClient.java
+++ b/launcher/src/test/java/martenloom/launcher/harness/ControlPlaneClient.java
@@ -1,5 +1,6 @@
 package martenloom.launcher.harness;
 
+import java.io.IOException;
 import java.util.function.IntSupplier;
 
 /**
@@ -36,6 +37,11 @@
         return TestHttpClient.call(address, head, body);
     }
 
+    /** A kept connection to one core daemon. */
+    public KeptConnection connect(int core) throws IOException {
+        return new KeptConnection(TestHttpClient.open(layout.control(core)));
+    }
+
     public HttpReply get(int core, String path) {
         return call(core, "GET " + path, "", "");
     }
