One bound for the bodies of requests at an edge

Cause: the whole body was allocated when its length was announced, copied at its end and again to be sent, on any number of connections.

Bytes are taken as they come and what is over the bound stays unread; a body leaves free what those before it need, so the oldest can always be read to its end, unless nothing comes of it for a second; small bodies do not wait behind large ones; after a second without room the answer is 503 and the rest of the body is passed over. A body is held once.

--- a/edge/src/main/java/martenloom/edge/dispatch/ClientConnection.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/ClientConnection.java
@@ -2,7 +2,6 @@
 
 import io.activej.eventloop.Eventloop;
 import io.activej.net.socket.tcp.ITcpSocket;
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Optional;
@@ -13,6 +12,8 @@
 import martenloom.edge.http.HttpStatus;
 import martenloom.edge.http.MalformedMessageException;
 import martenloom.edge.http.MessageHead;
+import martenloom.edge.memory.BodyBuffer;
+import martenloom.edge.memory.MessageMemory;
 import martenloom.edge.transport.SocketConnection;
 import martenloom.routing.route.ClientLimits;
 
@@ -31,6 +32,9 @@
         /** The limits on requests that are in force. */
         ClientLimits clientLimits();
 
+        /** The account of the bytes of requests. */
+        MessageMemory messageMemory();
+
         /** Whether this edge shuts down, so that each connection is closed behind its response. */
         boolean closesConnections();
 
@@ -68,6 +72,14 @@
     private static final long HEAD_GRACE_US = 500_000;
     private static final long MAX_CLOSING_US = 5_000_000;
 
+    /**
+     * So long a body waits for memory before its request is rejected; a client gives up one that is
+     * not read after a second.
+     */
+    private static final long MAX_MEMORY_WAIT_US = 1_000_000;
+
+    private static final String MEMORY_RETRY_AFTER_S = "1";
+
     private static final byte[] CONTINUE =
             "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
     private static final byte[] LAST_CHUNK = "0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
@@ -86,7 +98,16 @@
     // ---- the request being read or in flight
 
     private MessageHead head = MessageHead.newRequest("", "");
-    private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+    private BodyBuffer body = BodyBuffer.ofLength(0);
+
+    /** The memory that the body takes, from its beginning to the end of the request. */
+    private Optional<MessageMemory.Reservation> memory = Optional.empty();
+
+    /** Whether the request was rejected and the rest of its body is passed over. */
+    private boolean unreadBodyPassedOver;
+
+    /** Since when the body waits for memory; 0 while it doesn't. */
+    private long waitingForMemorySinceUs;
 
     /** The present body in the chunked coding; else {@link #bytesLeft} counts it. */
     private Optional<ChunkedBodyReader> chunkedBody = Optional.empty();
@@ -147,7 +168,8 @@
         return switch (state) {
             case HEAD -> readHead();
             case BODY -> readBody();
-            case IN_FLIGHT, CLOSING -> false;
+            case IN_FLIGHT -> false;
+            case CLOSING -> passOver();
         };
     }
 
@@ -171,6 +193,16 @@
         return true;
     }
 
+    /** Drops bytes behind the last request, and closes when the rest of its body has come. */
+    private boolean passOver() {
+        bytesLeft -= socket.available();
+        socket.consume(socket.available());
+        if (unreadBodyPassedOver && chunkedBody.isEmpty() && bytesLeft <= 0) {
+            socket.closeWhenSent();
+        }
+        return false;
+    }
+
     private void skipBlankLines() {
         while (socket.available() >= 2
                 && socket.buffer()[socket.position()] == '\r'
@@ -193,7 +225,7 @@
                         ? Optional.of(new ChunkedBodyReader(HttpStatus.BAD_REQUEST))
                         : Optional.empty();
         bytesLeft = Math.max(0, length);
-        body = new ByteArrayOutputStream(bytesLeft);
+        body = chunkedBody.isPresent() ? BodyBuffer.ofUnknownLength() : BodyBuffer.ofLength(length);
         state = State.BODY;
         if (head.get(HeaderField.EXPECT).equalsIgnoreCase("100-continue")
                 && length != 0
@@ -206,25 +238,58 @@
     }
 
     private boolean readBody() {
-        if (chunkedBody.isPresent()) {
-            readChunks(chunkedBody.get());
-            return true;
+        var wanted =
+                chunkedBody.isPresent()
+                        ? socket.available()
+                        : Math.min(bytesLeft, socket.available());
+        var granted = takeMemory(wanted);
+        if (granted > 0 && chunkedBody.isPresent()) {
+            readChunks(chunkedBody.get(), granted);
+        } else if (granted > 0) {
+            readPlainBody(granted);
+        }
+        return granted == wanted;
+    }
+
+    /** Takes memory for more of the body; reading rests until there is as much as is wanted. */
+    private int takeMemory(int wanted) {
+        var nowUs = Clocks.nowUs();
+        if (memory.isEmpty()) {
+            memory = Optional.of(handler.messageMemory().open(bytesLeft, nowUs, this::onRoom));
+        }
+        var granted = memory.get().take(wanted, nowUs);
+        if (granted < wanted && (granted > 0 || waitingForMemorySinceUs == 0)) {
+            waitingForMemorySinceUs = nowUs;
+            socket.pauseReading(true);
+        } else if (granted == wanted) {
+            stopWaitingForMemory();
         }
-        var length = Math.min(bytesLeft, socket.available());
-        body.write(socket.buffer(), socket.position(), length);
+        return granted;
+    }
+
+    private void onRoom() {
+        loop.post(
+                () -> {
+                    if (state == State.BODY && socket.isOpen()) {
+                        onBytes();
+                    }
+                });
+    }
+
+    private void readPlainBody(int length) {
+        body.append(socket.buffer(), socket.position(), length);
         socket.consume(length);
         bytesLeft -= length;
         if (bytesLeft == 0) {
             finishRequest();
         }
-        return true;
     }
 
-    private void readChunks(ChunkedBodyReader reader) {
+    private void readChunks(ChunkedBodyReader reader, int length) {
         var start = socket.position();
-        var end = reader.read(socket.buffer(), start, socket.limit(), body::write);
+        var end = reader.read(socket.buffer(), start, start + length, body::append);
         socket.consume(end - start);
-        if (body.size() > handler.clientLimits().maxBodyBytes()) {
+        if (body.length() > handler.clientLimits().maxBodyBytes()) {
             throw new MalformedMessageException(HttpStatus.CONTENT_TOO_LARGE, "body too large");
         }
         if (reader.done()) {
@@ -234,12 +299,34 @@
 
     private void finishRequest() {
         state = State.IN_FLIGHT;
-        var complete = body.toByteArray();
-        body = new ByteArrayOutputStream(0);
+        memory.ifPresent(MessageMemory.Reservation::complete);
+        stopWaitingForMemory();
+        var complete = body.complete();
+        body = BodyBuffer.ofLength(0);
         firstByteUs = socket.available() > 0 ? Clocks.nowUs() : 0;
         handler.onRequest(this, head, complete);
     }
 
+    private void stopWaitingForMemory() {
+        if (waitingForMemorySinceUs > 0) {
+            waitingForMemorySinceUs = 0;
+            loop.post(this::resumeReading);
+        }
+    }
+
+    private void resumeReading() {
+        if (waitingForMemorySinceUs == 0) {
+            socket.pauseReading(false);
+        }
+    }
+
+    private void releaseMemory() {
+        body = BodyBuffer.ofLength(0);
+        var released = memory;
+        memory = Optional.empty();
+        released.ifPresent(reservation -> reservation.close(Clocks.nowUs()));
+    }
+
     /** Answers a request that was not read to its end, and closes behind the answer. */
     private void reject(int status) {
         closeAfterResponse = true;
@@ -252,9 +339,7 @@
     @Override
     public void respond(byte[] responseHead, byte[] responseBody) {
         var framed = withFraming(responseHead, "Content-Length: " + responseBody.length + "\r\n");
-        var message = Arrays.copyOf(framed, framed.length + responseBody.length);
-        System.arraycopy(responseBody, 0, message, framed.length, responseBody.length);
-        socket.write(message);
+        socket.write(framed, responseBody);
         beginNext();
     }
 
@@ -296,6 +381,7 @@
     @Override
     public void abortStream() {
         state = State.CLOSING;
+        releaseMemory();
         detachRequest();
         socket.closeWhenSent();
         Clocks.after(loop, ABORT_FLUSH_US, socket::close);
@@ -307,6 +393,7 @@
     }
 
     private void beginNext() {
+        releaseMemory();
         detachRequest();
         sinceUs = Clocks.nowUs();
         if (closeAfterResponse) {
@@ -336,12 +423,36 @@
                                             + HEAD_GRACE_US);
                 }
             }
-            case BODY -> rejectIf(ageUs > handler.clientLimits().idleTimeoutMs() * US_PER_MS);
+            case BODY -> enforceBodyTimeouts(nowUs, ageUs);
             case CLOSING -> closeIf(ageUs > MAX_CLOSING_US);
             case IN_FLIGHT -> {}
         }
     }
 
+    private void enforceBodyTimeouts(long nowUs, long ageUs) {
+        if (waitingForMemorySinceUs > 0 && nowUs - waitingForMemorySinceUs > MAX_MEMORY_WAIT_US) {
+            rejectForMemory();
+        } else {
+            rejectIf(ageUs > handler.clientLimits().idleTimeoutMs() * US_PER_MS);
+        }
+    }
+
+    /**
+     * There was no memory for the body in time: what still comes of it is passed over until its end
+     * or the end of {@link #MAX_CLOSING_US}, so that the response is not lost by a reset.
+     */
+    private void rejectForMemory() {
+        stopWaitingForMemory();
+        releaseMemory();
+        closeAfterResponse = true;
+        unreadBodyPassedOver = true;
+        var responseHead = ErrorResponse.head(HttpStatus.SERVICE_UNAVAILABLE, MEMORY_RETRY_AFTER_S);
+        socket.write(withFraming(responseHead, "Content-Length: 0\r\n"));
+        state = State.CLOSING;
+        sinceUs = Clocks.nowUs();
+        onBytes();
+    }
+
     private long maxIdleUs() {
         return handler.closesConnections()
                 ? MAX_IDLE_IN_SHUTDOWN_US
@@ -362,6 +473,7 @@
 
     @Override
     public void onClosed() {
+        releaseMemory();
         handler.onClosed(this);
     }
 
--- a/edge/src/main/java/martenloom/edge/transport/ReplicaConnection.java
+++ b/edge/src/main/java/martenloom/edge/transport/ReplicaConnection.java
@@ -1,7 +1,6 @@
 package martenloom.edge.transport;
 
 import io.activej.net.socket.tcp.ITcpSocket;
-import java.util.Arrays;
 import java.util.Optional;
 import martenloom.common.clock.Clocks;
 import martenloom.edge.http.ChunkedBodyReader;
@@ -152,9 +151,7 @@
         skipping = false;
         skippedResponses = 0;
         lastResponse = false;
-        var message = Arrays.copyOf(head, head.length + body.length);
-        System.arraycopy(body, 0, message, head.length, body.length);
-        socket.write(message);
+        socket.write(head, body);
     }
 
     /** Stops or resumes reading, while the client does not keep up. */
--- a/edge/src/main/java/martenloom/edge/transport/SocketConnection.java
+++ b/edge/src/main/java/martenloom/edge/transport/SocketConnection.java
@@ -6,6 +6,7 @@
 import io.activej.reactor.Reactor;
 import java.io.IOException;
 import java.net.StandardSocketOptions;
+import java.util.Arrays;
 import martenloom.common.log.RingLog;
 import martenloom.common.socket.SocketReadHandler;
 import martenloom.common.socket.SocketReader;
@@ -30,6 +31,9 @@
     /** A buffer that grew past this is given up as soon as it is empty. */
     private static final int RETAINED_BUFFER_BYTES = 65_536;
 
+    /** A body up to this size is copied behind its head, so that both go out at once. */
+    private static final int COPIED_BODY_BYTES = 16 << 10;
+
     private final ITcpSocket socket;
     private final Owner owner;
     private final SocketReader reader;
@@ -173,6 +177,18 @@
                         });
     }
 
+    /** Writes a head and a body: as one message, or without a copy where the body is large. */
+    public void write(byte[] head, byte[] body) {
+        if (body.length > COPIED_BODY_BYTES) {
+            write(head);
+            write(body);
+            return;
+        }
+        var message = Arrays.copyOf(head, head.length + body.length);
+        System.arraycopy(body, 0, message, head.length, body.length);
+        write(message);
+    }
+
     // ---- closing
 
     /** Closes once what was written has gone out. */
--- a/edge/src/test/java/martenloom/edge/dispatch/ClientConnectionTest.java
+++ b/edge/src/test/java/martenloom/edge/dispatch/ClientConnectionTest.java
@@ -11,6 +11,7 @@
 import martenloom.common.clock.Clocks;
 import martenloom.edge.http.ErrorResponse;
 import martenloom.edge.http.MessageHead;
+import martenloom.edge.memory.MessageMemory;
 import martenloom.edge.transport.FakeSocket;
 import martenloom.routing.route.ClientLimits;
 import org.junit.jupiter.api.BeforeEach;
@@ -21,10 +22,12 @@
 /** How requests of a client are read, one at a time, and how their responses are framed. */
 final class ClientConnectionTest {
     private static final ClientLimits LIMITS = new ClientLimits(200, 10, 1000, 2000);
+    private static final long MEMORY_BYTES = 1_000;
     private static final String HEAD = "POST /path HTTP/1.1\r\nHost: h\r\n";
 
     private final List<String> events = new ArrayList<>();
     private final FakeSocket socket = new FakeSocket();
+    private final MessageMemory memory = new MessageMemory(MEMORY_BYTES);
     private boolean shutdown;
     private Eventloop loop;
     private ClientConnection connection;
@@ -36,6 +39,11 @@
                     return LIMITS;
                 }
 
+                @Override
+                public MessageMemory messageMemory() {
+                    return memory;
+                }
+
                 @Override
                 public boolean closesConnections() {
                     return shutdown;
@@ -88,6 +96,37 @@
         assertEquals("HTTP/1.1 100 Continue\r\n\r\n", socket.takeWritten());
     }
 
+    /** Guards against a body for which there is no memory, and which nobody answers. */
+    @Test
+    void aBodyThatFindsNoMemoryWaitsUnreadAndIsThenRejected() {
+        memory.open(1, 0, () -> {}).take((int) MEMORY_BYTES, 0);
+        socket.receive(HEAD + "Content-Length: 4\r\n\r\nab");
+        assertEquals(List.of(), events);
+        connection.enforceTimeouts(Clocks.nowUs() + 1_100_000);
+        assertTrue(
+                socket.takeWritten()
+                        .startsWith("HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"));
+        loop.run();
+        assertFalse(socket.isClosed(), "the rest of the body is still to come");
+        socket.receive("cd");
+        assertTrue(socket.isClosed());
+        assertEquals(List.of("closed"), events);
+    }
+
+    @Test
+    void aBodyThatFoundNoMemoryIsReadWhenThereIsRoom() {
+        var other = memory.open(1, 0, () -> {});
+        other.take((int) MEMORY_BYTES, 0);
+        socket.receive(HEAD + "Content-Length: 4\r\n\r\nab");
+        other.close(0);
+        loop.run();
+        socket.receive("cd");
+        assertEquals(List.of("/path abcd"), events);
+        assertEquals(4, memory.heldBytes());
+        connection.respond("HTTP/1.1 200 OK\r\n".getBytes(), "yes".getBytes());
+        assertEquals(0, memory.heldBytes());
+    }
+
     @Test
     void aStreamIsWrittenInChunks() {
         socket.receive(HEAD + "\r\n");
