Test harness: a stopped daemon frees its addresses

Seen: CoreShutdownTest.replacementsInARowLeaveAMajorityForTheNextLoss failed once in the review with "Address already in use".

Cause: the reactor's last round may run tasks behind the one that closes all channels, such as a redial. While a channel opened there is open the reactor leaves its selector open, and the JDK releases a closed channel only with its selector. Shown by ReactorThreadTest, which freezes the reactor and puts such a task behind the stop: BindException, Address already in use. That the failure in the review had this cause is concluded, not seen.

Change: the harness closes the channels and the selector again when the thread has ended. ReactorThreadTest passes.

--- a/launcher/src/test/java/martenloom/launcher/harness/ReactorThread.java
+++ b/launcher/src/test/java/martenloom/launcher/harness/ReactorThread.java
@@ -3,6 +3,7 @@
 import io.activej.eventloop.Eventloop;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.channels.Selector;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -78,12 +79,18 @@
         return thaw;
     }
 
-    /** Ends the reactor as a kill ends a process: its sockets close and its thread has ended. */
+    /**
+     * Ends the reactor as a kill ends a process: its sockets close and its thread has ended. Tasks
+     * of the reactor's last round may still open channels, and while one of these is open the
+     * reactor leaves its selector open, which keeps the closed ones bound; so both are closed here
+     * again.
+     */
     public void stop() {
         var down = new CompletableFuture<Boolean>();
+        var selector = reactor.getSelector();
         reactor.execute(
                 () -> {
-                    closeChannels();
+                    closeChannels(selector);
                     reactor.keepAlive(false);
                     reactor.breakEventloop();
                     down.complete(true);
@@ -94,10 +101,22 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        closeSelector(selector);
     }
 
-    private void closeChannels() {
-        for (var key : List.copyOf(reactor.getSelector().keys())) {
+    private static void closeSelector(Selector selector) {
+        if (selector.isOpen()) {
+            closeChannels(selector);
+            try {
+                selector.close();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+    }
+
+    private static void closeChannels(Selector selector) {
+        for (var key : List.copyOf(selector.keys())) {
             try {
                 key.channel().close();
             } catch (IOException e) {
