--- a/core/src/test/java/martenloom/core/chain/ChainSimulation.java
+++ b/core/src/test/java/martenloom/core/chain/ChainSimulation.java
@@ -262,6 +262,12 @@
 
     // ---- requests
 
+    /** A copy of a leave request arrives late, when its sender has come back. */
+    void submitLateLeave(SimulatedMember member) {
+        var command = new MarkDeparting(member.address(), Urgency.IMMEDIATE);
+        submit(heads().get(0), ++lastRequest, StampedCommand.of(command));
+    }
+
     void submitChange() {
         submitChange("");
     }
--- a/core/src/test/java/martenloom/core/chain/MembershipTest.java
+++ b/core/src/test/java/martenloom/core/chain/MembershipTest.java
@@ -184,6 +184,30 @@
         assertEquals(0, simulation.terminatedAtGraceEnd());
     }
 
+    /** Guards against a member that stays marked as departed, or is removed, though it is back. */
+    @ParameterizedTest
+    @ValueSource(ints = {3, 5})
+    void aLateLeaveRequestOfAMemberThatIsBackIsUndone(int members) {
+        var simulation = calmChain(members);
+        var back = follower(simulation);
+        simulation.submitLateLeave(back);
+        simulation.runUntil(
+                "marked as departed",
+                SECOND_US,
+                () ->
+                        simulation.members().stream()
+                                .anyMatch(
+                                        member ->
+                                                !member.chain()
+                                                        .committed()
+                                                        .roster()
+                                                        .departed()
+                                                        .isEmpty()));
+        simulation.runUntil("undone", 2 * SECOND_US, simulation::isComplete);
+        assertEquals(members, simulation.roster().size());
+        bearsTheNextLoss(simulation);
+    }
+
     /**
      * All are told at once: nobody is removed, all end early, and any majority of the disks is
      * enough afterwards.
