--- a/launcher/src/test/java/martenloom/launcher/harness/KeptConnection.java
+++ b/launcher/src/test/java/martenloom/launcher/harness/KeptConnection.java
@@ -30,6 +30,11 @@
         socket.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
     }
 
+    /** From now on a response is awaited for so long at most. */
+    public void setTimeout(int timeoutMs) throws IOException {
+        socket.setSoTimeout(timeoutMs);
+    }
+
     /** Reads the next response; {@link HttpReply#NONE} at the end of the connection. */
     public HttpReply receive() throws IOException {
         return TestHttpClient.read(in);
