--- a/launcher/src/test/java/martenloom/launcher/OrdersUnderFaultsTest.java
+++ b/launcher/src/test/java/martenloom/launcher/OrdersUnderFaultsTest.java
@@ -28,12 +28,19 @@
  */
 final class OrdersUnderFaultsTest {
     private static final int CORES = 3;
-    private static final List<String> ZONES = List.of("north-a", "south-b", "west-c");
+    private static final List<String> ZONES = List.of("north-a", "south-b");
     private static final int ORDERS_A_ROUND = 6;
     private static final int USUAL_ROUNDS = 3;
+
+    /** One order in so many asks for what is so already. */
+    private static final int REPETITION_ONE_IN = 4;
+
+    /** One order in so many has no copy that is held back. */
+    private static final int COPY_MISSING_ONE_IN = 4;
+
     private static final int CALLER_PATIENCE_MS = 1_000;
     private static final int MOST_TRIES = 40;
-    private static final int LATEST_COPY_MS = 6_000;
+    private static final int LATEST_COPY_MS = 9_000;
     private static final int MOST_END_BEHIND_MS = 250;
     private static final int LONGEST_FAULT_MS = 3_000;
 
@@ -67,7 +74,9 @@
             for (var i = 0; i < ORDERS_A_ROUND; i++) {
                 var fault =
                         random.nextInt(3) > 0 ? beginFault() : CompletableFuture.runAsync(() -> {});
-                order(ZONES.get(random.nextInt(ZONES.size())), random.nextBoolean(), seed);
+                var zone = ZONES.get(random.nextInt(ZONES.size()));
+                var reverses = random.nextInt(REPETITION_ONE_IN) > 0;
+                order(zone, evacuated.contains(zone) != reverses, seed);
                 orders++;
                 fault.join();
             }
@@ -120,7 +129,7 @@
     /** Gives an order as an operator does, at one daemon after another until it is acknowledged. */
     private void order(String zone, boolean start, int seed) {
         var call = "POST /evacuations/" + zone + (start ? "/start" : "/finish");
-        if (random.nextBoolean()) {
+        if (random.nextInt(COPY_MISSING_ONE_IN) > 0) {
             holdBackCopy(call);
         }
         var status = 0;
