--- a/launcher/src/test/java/martenloom/launcher/LateOrderTest.java
+++ b/launcher/src/test/java/martenloom/launcher/LateOrderTest.java
@@ -25,6 +25,7 @@
     private static final String FINISH = "/evacuations/south-b/finish";
     private static final String UNLOAD = "/placements/west/m/unload";
     private static final String LOAD = "/placements/west/m/load";
+    private static final String UNLOADED = "west/m desired 0 unloaded";
     private static final long CALLER_PATIENCE_MS = 1_000;
     private static final int LATE = 0;
     private static final int OTHER = 1;
@@ -71,7 +72,8 @@
         }
     }
 
-    private void assertShown(String query, String sought, boolean shown) {
+    private void assertShown(String sought, boolean shown) {
+        var query = sought.equals(UNLOADED) ? "scaling" : "evacuations";
         for (var core = 0; core <= OTHER; core++) {
             assertEquals(shown, cluster.ask(cluster.core(core), query).contains(sought), query);
         }
@@ -82,13 +84,7 @@
     @CsvSource({"false,0", "true,0", "false,20", "true,20", "false,250", "true,250"})
     void aLateCopyOfAnEvacuationOrderChangesNothing(boolean kept, long endBehindMs)
             throws IOException {
-        order(START, FINISH);
-        assertEquals(503, arriveLate(START, kept, endBehindMs).status());
-        assertShown("evacuations", "south-b", false);
-        order(START);
-        assertEquals(503, arriveLate(FINISH, kept, endBehindMs).status());
-        assertShown("evacuations", "south-b", true);
-        order(FINISH);
+        assertLateCopiesChangeNothing(START, FINISH, "south-b", kept, endBehindMs);
     }
 
     /**
@@ -100,7 +96,7 @@
     void aLateCopyWhoseEndComesASecondBehindItChangesNothing() throws IOException {
         order(START, FINISH);
         arriveLate(START, false, CALLER_PATIENCE_MS);
-        assertShown("evacuations", "south-b", false);
+        assertShown("south-b", false);
     }
 
     /** Guards against a model that is unloaded, or loaded, against the operator's last order. */
@@ -108,13 +104,22 @@
     @CsvSource({"false,0", "true,20"})
     void aLateCopyOfAPlacementOrderChangesNothing(boolean kept, long endBehindMs)
             throws IOException {
-        order(UNLOAD, LOAD);
-        assertEquals(503, arriveLate(UNLOAD, kept, endBehindMs).status());
-        assertShown("scaling", "west/m desired 0 unloaded", false);
-        order(UNLOAD);
-        assertEquals(503, arriveLate(LOAD, kept, endBehindMs).status());
-        assertShown("scaling", "west/m desired 0 unloaded", true);
-        order(LOAD);
+        assertLateCopiesChangeNothing(UNLOAD, LOAD, UNLOADED, kept, endBehindMs);
+    }
+
+    /**
+     * @param sought what core daemons show while the first order is in force and the second isn't
+     */
+    private void assertLateCopiesChangeNothing(
+            String order, String opposite, String sought, boolean kept, long endBehindMs)
+            throws IOException {
+        order(order, opposite);
+        assertEquals(503, arriveLate(order, kept, endBehindMs).status());
+        assertShown(sought, false);
+        order(order);
+        assertEquals(503, arriveLate(opposite, kept, endBehindMs).status());
+        assertShown(sought, true);
+        order(opposite);
     }
 
     /** Guards against refusing an order because its caller keeps the connection for more calls. */
--- a/launcher/src/test/java/martenloom/launcher/golden/CoreRecordsGoldenTest.java
+++ b/launcher/src/test/java/martenloom/launcher/golden/CoreRecordsGoldenTest.java
@@ -14,7 +14,6 @@
 import martenloom.common.codec.RecordReader;
 import martenloom.common.codec.RecordWriter;
 import martenloom.common.fleet.DigestRanges;
-import martenloom.common.fleet.EdgeRecord;
 import martenloom.common.fleet.RecordType;
 import martenloom.common.settings.SettingsFile;
 import martenloom.launcher.harness.TestCluster;
@@ -33,8 +32,7 @@
     private static final int NET = 58;
     private static final String EDGE_IP = "127." + NET + ".2.40";
     private static final String PEER_IP = "127." + NET + ".1.40";
-    private static final String HOLDER = EDGE_IP + "#2a";
-    private static final long STAMP_US = 5_000_000;
+    static final long STAMP_US = 5_000_000;
     private static final String REPLICA = "t t t t 4 8 1? 8? 8 8?";
     private static final String EDGE = "t t t t t 1 8 8 8 8?";
 
@@ -52,24 +50,7 @@
     // ---- what the other side sends
 
     private static byte[] renewal(long sequence, boolean leaving, List<String> duties) {
-        var edge = new EdgeRecord();
-        edge.setIp(EDGE_IP);
-        edge.setName("edge-plain");
-        edge.setZone("north-a");
-        edge.setRegion("north");
-        edge.setFrontendAddress(EDGE_IP + ":8000");
-        edge.setReady(!leaving);
-        edge.setDraining(leaving);
-        edge.setIncarnation(42);
-        edge.setSequence(sequence);
-        edge.setConfigurationRevision(3);
-        var out = new RecordWriter(RecordType.EDGE_LEASE_RENEWAL);
-        edge.write(out, 0);
-        return out.i64(STAMP_US + sequence)
-                .text(HOLDER)
-                .texts(duties)
-                .texts(List.of("replica-1"))
-                .bytes();
+        return PlainEdge.renewal(EDGE_IP, sequence, leaving, duties, List.of("replica-1"));
     }
 
     private static byte[] edgeOrder(String act, String subject) {
--- a/launcher/src/test/java/martenloom/launcher/golden/EdgeRecordsGoldenTest.java
+++ b/launcher/src/test/java/martenloom/launcher/golden/EdgeRecordsGoldenTest.java
@@ -29,6 +29,7 @@
  * home with records as a core daemon was recorded to send them.
  */
 final class EdgeRecordsGoldenTest {
+    private static final int NETWORK = 60;
     private static final String HOME_IP = "127.60.1.10";
     private static final String EDGE_IP = "127.60.2.10";
     private static final int MOST_RECORDS = 200;
@@ -44,31 +45,11 @@
         reactor.stop();
     }
 
-    private static String settingsText(int port) {
-        return """
-        NodeName = "edge-plain"
-        IpAddress = "%1$s"
-        Zone = "north-a"
-        Region = "north"
-        InternalPortRange = [%3$d, %3$d]
-        SeedNodes = ["%2$s:8166"]
-        Serves = ["edge"]
-        HeartbeatIntervalMs = 300
-        [Zones]
-        north-a = "north"
-        south-b = "south"
-        west-c = "west"
-        [ListenAddresses]
-        Frontend = "127.60.3.10:%3$d"
-        Readiness = "127.60.4.10:%3$d"
-        """
-                .formatted(EDGE_IP, HOME_IP, port);
-    }
-
     private void startEdge(int port) {
         reactor.call(
                 () -> {
-                    var settings = SettingsFile.parse(settingsText(port));
+                    var settings =
+                            SettingsFile.parse(PlainEdge.settings(NETWORK, EDGE_IP, HOME_IP, port));
                     new EdgeDaemon(settings, reactor.reactor()).start();
                     return settings;
                 });
--- a/launcher/src/test/java/martenloom/launcher/golden/LeaseFencingTest.java
+++ b/launcher/src/test/java/martenloom/launcher/golden/LeaseFencingTest.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import martenloom.common.codec.RecordReader;
 import martenloom.common.codec.RecordWriter;
-import martenloom.common.fleet.EdgeRecord;
 import martenloom.common.fleet.RecordType;
 import martenloom.common.settings.SettingsFile;
 import martenloom.launcher.harness.TestCluster;
@@ -24,27 +23,15 @@
     private static final int NETWORK = 61;
     private static final String EDGE_IP = "127." + NETWORK + ".2.40";
     private static final String PEER_IP = "127." + NETWORK + ".1.40";
-    private static final String HOLDER = EDGE_IP + "#2a";
+    private static final String HOLDER = PlainEdge.holder(EDGE_IP);
     private static final String REPORTER_ROLE = "north/m";
     private static final String OTHER_ROLE = "jobs/north";
     private static final long LEASE_US = 2_000_000;
 
     @TempDir private Path dir;
 
-    private static byte[] renewal(long sequence, String... roles) {
-        var edge = new EdgeRecord();
-        edge.setIp(EDGE_IP);
-        edge.setName("edge-plain");
-        edge.setZone("north-a");
-        edge.setRegion("north");
-        edge.setFrontendAddress(EDGE_IP + ":8000");
-        edge.setReady(true);
-        edge.setIncarnation(42);
-        edge.setSequence(sequence);
-        edge.setConfigurationRevision(3);
-        var out = new RecordWriter(RecordType.EDGE_LEASE_RENEWAL);
-        edge.write(out, 0);
-        return out.i64(sequence).text(HOLDER).texts(List.of(roles)).texts(List.of()).bytes();
+    private static byte[] renewal(long sequence, String role) {
+        return PlainEdge.renewal(EDGE_IP, sequence, false, List.of(role), List.of());
     }
 
     private static byte[] grant(String role, long fencingToken) {
--- a/launcher/src/test/java/martenloom/launcher/golden/StaleHomeTest.java
+++ b/launcher/src/test/java/martenloom/launcher/golden/StaleHomeTest.java
@@ -25,6 +25,7 @@
  * runs alone; plain sockets play its home and another core daemon.
  */
 final class StaleHomeTest {
+    private static final int NETWORK = 62;
     private static final String HOME_IP = "127.62.1.10";
     private static final String OTHER_IP = "127.62.1.11";
     private static final String EDGE_IP = "127.62.2.10";
@@ -46,7 +47,8 @@
         otherServer.setSoTimeout(ACCEPT_TIMEOUT_MS);
         reactor.call(
                 () -> {
-                    var settings = SettingsFile.parse(settingsText(port));
+                    var settings =
+                            SettingsFile.parse(PlainEdge.settings(NETWORK, EDGE_IP, HOME_IP, port));
                     new EdgeDaemon(settings, reactor.reactor()).start();
                     return settings;
                 });
@@ -59,26 +61,6 @@
         otherServer.close();
     }
 
-    private static String settingsText(int port) {
-        return """
-        NodeName = "edge-plain"
-        IpAddress = "%1$s"
-        Zone = "north-a"
-        Region = "north"
-        InternalPortRange = [%3$d, %3$d]
-        SeedNodes = ["%2$s:8166"]
-        Serves = ["edge"]
-        HeartbeatIntervalMs = 300
-        [Zones]
-        north-a = "north"
-        south-b = "south"
-        [ListenAddresses]
-        Frontend = "127.62.3.10:%3$d"
-        Readiness = "127.62.4.10:%3$d"
-        """
-                .formatted(EDGE_IP, HOME_IP, port);
-    }
-
     /** Answers the next renewal as a core daemon whose knowledge is so old. */
     private static void answerRenewal(PlainPeer core, long staleUs) throws IOException {
         var in = new RecordReader(core.next(RecordType.EDGE_LEASE_RENEWAL), true);
