One bound for requests and responses of an edge; an unread stream is no silence

A stream whose client does not read made its replica, and for lack of others its zone, count as silent: others got 503. A head in two pieces on a connection that had rested for HeaderTimeoutMs got 408 at once.

Cause: only the bodies of requests were counted. StallDetector counted the silence of a replica while the edge itself did not read. The time for a head counted from the end of the last answer.

Change: MemoryAccounts divides the one bound into requests and responses, so that neither waits for the other's room. A response takes memory as its bytes come, is held once, pauses its replica while the account is full, and counts until it has gone out; the oldest unfinished one is always read on. A response that is not read counts for no silence; reading that goes on starts its count anew. The head's time counts from its first byte. RequestBody is taken out of ClientConnection.

--- a/edge/src/main/java/martenloom/edge/dispatch/Attempt.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/Attempt.java
@@ -4,7 +4,6 @@
 import io.activej.net.socket.tcp.ITcpSocket;
 import io.activej.net.socket.tcp.TcpSocket;
 import io.activej.reactor.net.SocketSettings;
-import java.io.ByteArrayOutputStream;
 import java.util.Locale;
 import java.util.Optional;
 import martenloom.common.clock.Clocks;
@@ -12,6 +11,7 @@
 import martenloom.edge.http.HeaderField;
 import martenloom.edge.http.HttpStatus;
 import martenloom.edge.http.MessageHead;
+import martenloom.edge.memory.MessageMemory;
 import martenloom.edge.replica.InFlightAttempt;
 import martenloom.edge.replica.ReplicaEndpoint;
 import martenloom.edge.transport.ReplicaConnection;
@@ -58,6 +58,9 @@
         /** The stream is complete; what came behind the last event is passed on as it is. */
         void onStreamEnd(Attempt attempt, byte[] remainder);
 
+        /** The account of the bytes of responses. */
+        MessageMemory responseMemory();
+
         /** A complete response that is no stream. */
         void onResponse(Attempt attempt, MessageHead head, byte[] body);
 
@@ -78,8 +81,6 @@
     private static final long MAX_IDLE_IF_NOT_IDEMPOTENT_US = 2_000_000;
 
     private static final long LEAST_LEFT_MS = 1;
-    private static final int MAX_BODY_BYTES = 16 << 20;
-    private static final int USUAL_BODY_BYTES = 256;
 
     private final Request request;
     private final ReplicaEndpoint replica;
@@ -112,8 +113,13 @@
     /** The body if it is a stream of events. */
     private Optional<EventStreamReader> eventStream = Optional.empty();
 
-    /** The body so far if it is no stream. */
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream(USUAL_BODY_BYTES);
+    /** The body if it is no stream. */
+    private Optional<ResponseBody> body = Optional.empty();
+
+    /** Since when bytes of the replica are awaited, after reading was paused. */
+    private long resumedUs;
+
+    private boolean readingPaused;
 
     Attempt(
             Request request,
@@ -167,6 +173,16 @@
         return sentUs;
     }
 
+    @Override
+    public boolean readingPaused() {
+        return readingPaused;
+    }
+
+    @Override
+    public long awaitedSinceUs() {
+        return Math.max(sentUs, resumedUs);
+    }
+
     long firstEventUs() {
         return firstEventUs;
     }
@@ -253,6 +269,11 @@
         if (isEventStream(responseHead)) {
             eventStream = Optional.of(new EventStreamReader(resumeAfterId));
             listener.onStreamHead(this, responseHead);
+        } else {
+            body =
+                    Optional.of(
+                            ResponseBody.of(
+                                    responseHead, listener.responseMemory(), this::pauseReading));
         }
     }
 
@@ -281,10 +302,8 @@
             if (events.length > 0) {
                 listener.onEvents(this, events, EventStreamReader.lastId(events));
             }
-        } else if (body.size() + length > MAX_BODY_BYTES) {
+        } else if (!body.get().append(buffer, offset, length)) {
             failAndAbandonConnection();
-        } else {
-            body.write(buffer, offset, length);
         }
     }
 
@@ -306,8 +325,13 @@
                 && !responseHead.has(HeaderField.SERVER_SEAL)) {
             listener.onFailed(this, Failure.MAYBE_RUN, Optional.empty());
         } else {
-            listener.onResponse(this, responseHead, body.toByteArray());
+            listener.onResponse(this, responseHead, body.get().complete());
         }
+        releaseBody();
+    }
+
+    private void releaseBody() {
+        body.ifPresent(ResponseBody::close);
     }
 
     @Override
@@ -338,6 +362,7 @@
     private void fail(Failure failure) {
         if (state != State.OVER) {
             state = State.OVER;
+            releaseBody();
             listener.onFailed(this, failure, Optional.empty());
         }
     }
@@ -346,6 +371,10 @@
 
     /** Stops or resumes reading the response, while the client does not keep up. */
     void pauseReading(boolean paused) {
+        if (readingPaused && !paused) {
+            resumedUs = Clocks.nowUs();
+        }
+        readingPaused = paused;
         connection.ifPresent(used -> used.pauseReading(paused));
     }
 
@@ -371,6 +400,7 @@
         removeFromLoad();
         if (state != State.OVER) {
             state = State.OVER;
+            releaseBody();
             var used = connection;
             connection = Optional.empty();
             used.ifPresent(ReplicaConnection::abandon);
--- a/edge/src/main/java/martenloom/edge/dispatch/AttemptHandler.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/AttemptHandler.java
@@ -5,6 +5,7 @@
 import martenloom.common.clock.Clocks;
 import martenloom.common.log.RingLog;
 import martenloom.edge.http.MessageHead;
+import martenloom.edge.memory.MessageMemory;
 import martenloom.edge.replica.ReplicaTable;
 
 /**
@@ -16,7 +17,12 @@
     /** Reading a stream is paused while more than this waits for the client to read it. */
     private static final int PAUSE_ABOVE_BYTES = 1 << 18;
 
-    private static final int RESUME_BELOW_BYTES = 1 << 16;
+    /** The same while the account of responses is full. */
+    private static final int PAUSE_ABOVE_BYTES_IF_FULL = 16 << 10;
+
+    /** Reading goes on below this part of what it was paused above. */
+    private static final int RESUME_DIVISOR = 4;
+
     private static final long RESUME_CHECK_US = 10_000;
 
     /** What the handler needs of the dispatcher. */
@@ -35,6 +41,7 @@
     private final ReplicaTable replicaTable;
     private final RequestCompletion completion;
     private final ShutdownAdmissionPolicy admissionPolicy;
+    private final MessageMemory responseMemory;
     private final Owner owner;
     private final ReplicaFeedback feedback;
 
@@ -43,11 +50,13 @@
             ReplicaTable replicaTable,
             RequestCompletion completion,
             ShutdownAdmissionPolicy admissionPolicy,
+            MessageMemory responseMemory,
             Owner owner) {
         this.loop = loop;
         this.replicaTable = replicaTable;
         this.completion = completion;
         this.admissionPolicy = admissionPolicy;
+        this.responseMemory = responseMemory;
         this.owner = owner;
         feedback = new ReplicaFeedback(replicaTable);
     }
@@ -76,19 +85,24 @@
             request.setLastEventId(lastEventId);
         }
         request.sink().sendEvents(events);
-        if (request.sink().unsentBytes() > PAUSE_ABOVE_BYTES) {
+        if (request.sink().unsentBytes() > pauseAboveBytes()) {
             attempt.pauseReading(true);
             resumeWhenRead(attempt);
         }
     }
 
+    private int pauseAboveBytes() {
+        return responseMemory.isFull() ? PAUSE_ABOVE_BYTES_IF_FULL : PAUSE_ABOVE_BYTES;
+    }
+
     private void resumeWhenRead(Attempt attempt) {
         Clocks.after(
                 loop,
                 RESUME_CHECK_US,
                 () -> {
                     var request = attempt.request();
-                    if (request.done() || request.sink().unsentBytes() < RESUME_BELOW_BYTES) {
+                    if (request.done()
+                            || request.sink().unsentBytes() < pauseAboveBytes() / RESUME_DIVISOR) {
                         attempt.pauseReading(false);
                     } else {
                         resumeWhenRead(attempt);
@@ -118,6 +132,11 @@
 
     // ---- other responses and failures
 
+    @Override
+    public MessageMemory responseMemory() {
+        return responseMemory;
+    }
+
     @Override
     public void onResponse(Attempt attempt, MessageHead head, byte[] body) {
         attempt.removeFromLoad();
--- a/edge/src/main/java/martenloom/edge/dispatch/ClientConnection.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/ClientConnection.java
@@ -6,13 +6,11 @@
 import java.util.Arrays;
 import java.util.Optional;
 import martenloom.common.clock.Clocks;
-import martenloom.edge.http.ChunkedBodyReader;
 import martenloom.edge.http.ErrorResponse;
 import martenloom.edge.http.HeaderField;
 import martenloom.edge.http.HttpStatus;
 import martenloom.edge.http.MalformedMessageException;
 import martenloom.edge.http.MessageHead;
-import martenloom.edge.memory.BodyBuffer;
 import martenloom.edge.memory.MessageMemory;
 import martenloom.edge.transport.SocketConnection;
 import martenloom.routing.route.ClientLimits;
@@ -33,7 +31,10 @@
         ClientLimits clientLimits();
 
         /** The account of the bytes of requests. */
-        MessageMemory messageMemory();
+        MessageMemory requestMemory();
+
+        /** The account of the bytes of responses. */
+        MessageMemory responseMemory();
 
         /** Whether this edge shuts down, so that each connection is closed behind its response. */
         boolean closesConnections();
@@ -98,30 +99,24 @@
     // ---- the request being read or in flight
 
     private MessageHead head = MessageHead.newRequest("", "");
-    private BodyBuffer body = BodyBuffer.ofLength(0);
-
-    /** The memory that the body takes, from its beginning to the end of the request. */
-    private Optional<MessageMemory.Reservation> memory = Optional.empty();
+    private final RequestBody body;
 
     /** Whether the request was rejected and the rest of its body is passed over. */
     private boolean unreadBodyPassedOver;
 
-    /** Since when the body waits for memory; 0 while it doesn't. */
-    private long waitingForMemorySinceUs;
-
-    /** The present body in the chunked coding; else {@link #bytesLeft} counts it. */
-    private Optional<ChunkedBodyReader> chunkedBody = Optional.empty();
-
-    private int bytesLeft;
     private long requestBeganUs;
     private boolean closeAfterResponse;
     private Optional<Request> request = Optional.empty();
 
+    /** What is on its way to the client, as it counts in the account of responses. */
+    private int unsentInAccount;
+
     /** Reads requests from a socket from now on. */
     public ClientConnection(Eventloop loop, ITcpSocket tcpSocket, RequestHandler handler) {
         this.loop = loop;
         this.handler = handler;
         socket = new SocketConnection(tcpSocket, MAX_BUFFERED_BYTES, this);
+        body = new RequestBody(socket, loop, handler::requestMemory, this::onRoom);
         handler.onOpened(this);
         socket.start();
     }
@@ -195,9 +190,8 @@
 
     /** Drops bytes behind the last request, and closes when the rest of its body has come. */
     private boolean passOver() {
-        bytesLeft -= socket.available();
-        socket.consume(socket.available());
-        if (unreadBodyPassedOver && chunkedBody.isEmpty() && bytesLeft <= 0) {
+        var wasLast = body.passOver();
+        if (unreadBodyPassedOver && wasLast) {
             socket.closeWhenSent();
         }
         return false;
@@ -220,12 +214,7 @@
             throw new MalformedMessageException(HttpStatus.CONTENT_TOO_LARGE, "body too large");
         }
         closeAfterResponse = head.closesConnection();
-        chunkedBody =
-                length == MessageHead.CHUNKED
-                        ? Optional.of(new ChunkedBodyReader(HttpStatus.BAD_REQUEST))
-                        : Optional.empty();
-        bytesLeft = Math.max(0, length);
-        body = chunkedBody.isPresent() ? BodyBuffer.ofUnknownLength() : BodyBuffer.ofLength(length);
+        body.begin(length);
         state = State.BODY;
         if (head.get(HeaderField.EXPECT).equalsIgnoreCase("100-continue")
                 && length != 0
@@ -238,95 +227,26 @@
     }
 
     private boolean readBody() {
-        var wanted =
-                chunkedBody.isPresent()
-                        ? socket.available()
-                        : Math.min(bytesLeft, socket.available());
-        var granted = takeMemory(wanted);
-        if (granted > 0 && chunkedBody.isPresent()) {
-            readChunks(chunkedBody.get(), granted);
-        } else if (granted > 0) {
-            readPlainBody(granted);
-        }
-        return granted == wanted;
-    }
-
-    /** Takes memory for more of the body; reading rests until there is as much as is wanted. */
-    private int takeMemory(int wanted) {
-        var nowUs = Clocks.nowUs();
-        if (memory.isEmpty()) {
-            memory = Optional.of(handler.messageMemory().open(bytesLeft, nowUs, this::onRoom));
-        }
-        var granted = memory.get().take(wanted, nowUs);
-        if (granted < wanted && (granted > 0 || waitingForMemorySinceUs == 0)) {
-            waitingForMemorySinceUs = nowUs;
-            socket.pauseReading(true);
-        } else if (granted == wanted) {
-            stopWaitingForMemory();
-        }
-        return granted;
-    }
-
-    private void onRoom() {
-        loop.post(
-                () -> {
-                    if (state == State.BODY && socket.isOpen()) {
-                        onBytes();
-                    }
-                });
-    }
-
-    private void readPlainBody(int length) {
-        body.append(socket.buffer(), socket.position(), length);
-        socket.consume(length);
-        bytesLeft -= length;
-        if (bytesLeft == 0) {
+        var allTaken = body.read(handler.clientLimits().maxBodyBytes());
+        if (body.isComplete()) {
             finishRequest();
         }
+        return allTaken;
     }
 
-    private void readChunks(ChunkedBodyReader reader, int length) {
-        var start = socket.position();
-        var end = reader.read(socket.buffer(), start, start + length, body::append);
-        socket.consume(end - start);
-        if (body.length() > handler.clientLimits().maxBodyBytes()) {
-            throw new MalformedMessageException(HttpStatus.CONTENT_TOO_LARGE, "body too large");
-        }
-        if (reader.done()) {
-            finishRequest();
+    private void onRoom() {
+        if (state == State.BODY && socket.isOpen()) {
+            onBytes();
         }
     }
 
     private void finishRequest() {
         state = State.IN_FLIGHT;
-        memory.ifPresent(MessageMemory.Reservation::complete);
-        stopWaitingForMemory();
-        var complete = body.complete();
-        body = BodyBuffer.ofLength(0);
+        var complete = body.finish();
         firstByteUs = socket.available() > 0 ? Clocks.nowUs() : 0;
         handler.onRequest(this, head, complete);
     }
 
-    private void stopWaitingForMemory() {
-        if (waitingForMemorySinceUs > 0) {
-            waitingForMemorySinceUs = 0;
-            loop.post(this::resumeReading);
-        }
-    }
-
-    private void resumeReading() {
-        if (waitingForMemorySinceUs == 0) {
-            socket.pauseReading(false);
-        }
-    }
-
-    private void releaseMemory() {
-        body = BodyBuffer.ofLength(0);
-        var released = memory;
-        memory = Optional.empty();
-        released.ifPresent(reservation -> reservation.close(Clocks.nowUs()));
-    }
-
     /** Answers a request that was not read to its end, and closes behind the answer. */
     private void reject(int status) {
         closeAfterResponse = true;
@@ -381,7 +301,7 @@
     @Override
     public void abortStream() {
         state = State.CLOSING;
-        releaseMemory();
+        body.release();
         detachRequest();
         socket.closeWhenSent();
         Clocks.after(loop, ABORT_FLUSH_US, socket::close);
@@ -392,8 +312,16 @@
         return socket.unsentBytes();
     }
 
+    @Override
+    public void onUnsent(int change) {
+        if (socket.isOpen()) {
+            unsentInAccount += change;
+            handler.responseMemory().hold(change, Clocks.nowUs());
+        }
+    }
+
     private void beginNext() {
-        releaseMemory();
+        body.release();
         detachRequest();
         sinceUs = Clocks.nowUs();
         if (closeAfterResponse) {
@@ -417,10 +345,8 @@
                 if (socket.available() == 0) {
                     closeIf(ageUs > maxIdleUs());
                 } else {
-                    rejectIf(
-                            ageUs
-                                    > handler.clientLimits().headerTimeoutMs() * US_PER_MS
-                                            + HEAD_GRACE_US);
+                    var headAgeUs = nowUs - Math.max(sinceUs, firstByteUs);
+                    rejectIf(headAgeUs > maxHeadUs());
                 }
             }
             case BODY -> enforceBodyTimeouts(nowUs, ageUs);
@@ -430,7 +356,7 @@
     }
 
     private void enforceBodyTimeouts(long nowUs, long ageUs) {
-        if (waitingForMemorySinceUs > 0 && nowUs - waitingForMemorySinceUs > MAX_MEMORY_WAIT_US) {
+        if (body.waitsForMemoryLongerThan(MAX_MEMORY_WAIT_US, nowUs)) {
             rejectForMemory();
         } else {
             rejectIf(ageUs > handler.clientLimits().idleTimeoutMs() * US_PER_MS);
@@ -442,8 +368,7 @@
      * or the end of {@link #MAX_CLOSING_US}, so that the response is not lost by a reset.
      */
     private void rejectForMemory() {
-        stopWaitingForMemory();
-        releaseMemory();
+        body.release();
         closeAfterResponse = true;
         unreadBodyPassedOver = true;
         var responseHead = ErrorResponse.head(HttpStatus.SERVICE_UNAVAILABLE, MEMORY_RETRY_AFTER_S);
@@ -459,6 +384,10 @@
                 : handler.clientLimits().idleTimeoutMs() * US_PER_MS + IDLE_GRACE_US;
     }
 
+    private long maxHeadUs() {
+        return handler.clientLimits().headerTimeoutMs() * US_PER_MS + HEAD_GRACE_US;
+    }
+
     private void closeIf(boolean expired) {
         if (expired) {
             close();
@@ -473,7 +402,9 @@
 
     @Override
     public void onClosed() {
-        releaseMemory();
+        body.release();
+        handler.responseMemory().hold(-unsentInAccount, Clocks.nowUs());
+        unsentInAccount = 0;
         handler.onClosed(this);
     }
 
--- a/edge/src/main/java/martenloom/edge/dispatch/RequestDispatcher.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/RequestDispatcher.java
@@ -9,6 +9,7 @@
 import martenloom.common.load.LoadSummary;
 import martenloom.common.settings.Settings;
 import martenloom.edge.http.MessageHead;
+import martenloom.edge.memory.MemoryAccounts;
 import martenloom.edge.memory.MessageMemory;
 import martenloom.edge.overload.OverloadReceiver;
 import martenloom.edge.replica.PrefixOwners;
@@ -26,9 +27,6 @@
  * reactor thread.
  */
 public final class RequestDispatcher implements ClientConnection.RequestHandler, RoutingView {
-    private static final double MESSAGE_MEMORY_SHARE = 0.5;
-    private static final long BYTES_PER_MB = 1 << 20;
-
     private final Settings settings;
     private final ReplicaTable replicaTable;
     private final PrefixOwners prefixOwners = new PrefixOwners();
@@ -36,7 +34,7 @@
     private final DispatchCounters counters = new DispatchCounters();
     private final ShutdownAdmissionPolicy shutdownPolicy = new ShutdownAdmissionPolicy();
     private final OverloadReduction overload = new OverloadReduction(overloadReports);
-    private final MessageMemory messageMemory;
+    private final MemoryAccounts memory;
     private final ClientConnections clients;
     private final ClusterView cluster;
     private final CandidateFilter filter;
@@ -50,7 +48,7 @@
     public RequestDispatcher(Eventloop loop, Settings settings, ReplicaTable replicaTable) {
         this.settings = settings;
         this.replicaTable = replicaTable;
-        messageMemory = new MessageMemory(messageMemoryBytes(settings));
+        memory = MemoryAccounts.of(settings);
         clients = new ClientConnections(loop, settings.maxFileDescriptors());
         cluster = new ClusterView(replicaTable);
         filter = new CandidateFilter(settings, replicaTable, cluster);
@@ -71,14 +69,18 @@
                         replicaTable.predictor());
         scheduler =
                 new RequestScheduler(
-                        loop, replicaTable, filter, starter, completion, shutdownPolicy);
-    }
-
-    /** What bodies may take together of what the process may use, and of its heap. */
-    private static long messageMemoryBytes(Settings settings) {
-        var limitBytes = (long) settings.memoryMb() * BYTES_PER_MB;
-        return (long)
-                (Math.min(limitBytes, Runtime.getRuntime().maxMemory()) * MESSAGE_MEMORY_SHARE);
+                        loop,
+                        filter,
+                        starter,
+                        completion,
+                        owner ->
+                                new AttemptHandler(
+                                        loop,
+                                        replicaTable,
+                                        completion,
+                                        shutdownPolicy,
+                                        memory.responses(),
+                                        owner));
     }
 
     // ---- what it shares
@@ -197,8 +199,13 @@
     }
 
     @Override
-    public MessageMemory messageMemory() {
-        return messageMemory;
+    public MessageMemory requestMemory() {
+        return memory.requests();
+    }
+
+    @Override
+    public MessageMemory responseMemory() {
+        return memory.responses();
     }
 
     @Override
@@ -262,7 +269,8 @@
     public void sweep() {
         var now = Clocks.nowUs();
         clients.enforceTimeouts(now);
-        messageMemory.offerRoom(now);
+        memory.requests().offerRoom(now);
+        memory.responses().offerRoom(now);
         for (var replica : replicaTable.all()) {
             replica.connections().closeUnusable(now);
         }
--- a/edge/src/main/java/martenloom/edge/dispatch/RequestScheduler.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/RequestScheduler.java
@@ -1,8 +1,8 @@
 package martenloom.edge.dispatch;
 
 import io.activej.eventloop.Eventloop;
+import java.util.function.Function;
 import martenloom.common.clock.Clocks;
-import martenloom.edge.replica.ReplicaTable;
 
 /**
  * Starts the attempts of admitted requests, and queues those for which there is no replica now. The
@@ -30,16 +30,15 @@
 
     RequestScheduler(
             Eventloop loop,
-            ReplicaTable replicaTable,
             CandidateFilter filter,
             AttemptStarter starter,
             RequestCompletion completion,
-            ShutdownAdmissionPolicy admissionPolicy) {
+            Function<AttemptHandler.Owner, AttemptHandler> attemptHandlers) {
         this.loop = loop;
         this.filter = filter;
         this.starter = starter;
         this.completion = completion;
-        attemptHandler = new AttemptHandler(loop, replicaTable, completion, admissionPolicy, this);
+        attemptHandler = attemptHandlers.apply(this);
     }
 
     /** Opens a request of a client and sends or queues it. */
--- a/edge/src/main/java/martenloom/edge/dispatch/StallDetector.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/StallDetector.java
@@ -11,7 +11,8 @@
  * Finds replicas that have attempts in flight and are unresponsive. One that has said nothing for
  * longer than its load explains is suspected for a while, and its attempts are notified. Shortly
  * before that the other edges of the zone are asked whether they hear it; while they do, it is
- * given twice the time. Runs on the reactor thread.
+ * given twice the time. A response that is not read, since its client does not keep up, is no
+ * silence of the replica. Runs on the reactor thread.
  */
 final class StallDetector {
     /** How long before a replica is suspected the other edges are asked about it. */
@@ -48,7 +49,7 @@
             reachability.setSuspecting(false);
             return;
         }
-        var unresponsiveUs = nowUs - Math.max(heardUs, replica.firstSentUs(nowUs));
+        var unresponsiveUs = nowUs - Math.max(heardUs, replica.awaitedSinceUs(nowUs));
         var patienceUs = patienceUs(replica);
         reachability.setSuspecting(
                 unresponsiveUs > Math.max(patienceUs / 2, patienceUs - PROBE_LEAD_US));
--- /dev/null
+++ b/edge/src/main/java/martenloom/edge/memory/MemoryAccounts.java
@@ -0,0 +1,28 @@
+package martenloom.edge.memory;
+
+import martenloom.common.settings.Settings;
+
+/**
+ * What this edge may hold of messages: one bound, in two parts, so that requests that wait for
+ * their responses never take the room that these need.
+ *
+ * @param requests the bodies of requests, from their first byte to the end of the request
+ * @param responses the bodies of responses that are no streams, until they have gone out, and what
+ *     waits to go out of streams
+ */
+public record MemoryAccounts(MessageMemory requests, MessageMemory responses) {
+    /** What messages may take together of what the process may use, and of its heap. */
+    private static final double SHARE = 0.5;
+
+    private static final double REQUESTS_SHARE = 0.65;
+    private static final long BYTES_PER_MB = 1 << 20;
+
+    /** The accounts of an edge with these settings. */
+    public static MemoryAccounts of(Settings settings) {
+        var limitBytes = settings.memoryMb() * BYTES_PER_MB;
+        var bytes = Math.min(limitBytes, Runtime.getRuntime().maxMemory()) * SHARE;
+        return new MemoryAccounts(
+                new MessageMemory((long) (bytes * REQUESTS_SHARE)),
+                new MessageMemory((long) (bytes * (1 - REQUESTS_SHARE))));
+    }
+}
--- a/edge/src/main/java/martenloom/edge/memory/MessageMemory.java
+++ b/edge/src/main/java/martenloom/edge/memory/MessageMemory.java
@@ -5,9 +5,10 @@
 import java.util.Set;
 
 /**
- * The account of the bytes of requests that this edge holds: one bound for all connections
- * together. Bytes are taken as they come. What is over the bound stays unread in its connection,
- * which TCP's flow control passes on to the sender, and is taken in the order of arrival.
+ * The account of the bytes of requests, or of responses, that this edge holds: one bound for all
+ * connections together. Bytes are taken as they come. What is over the bound stays unread in its
+ * connection, which TCP's flow control passes on to the sender, and is taken in the order of
+ * arrival.
  *
  * <p>A large body leaves free what the bodies before it still need, so that the oldest one can
  * always be read to its end, whatever began behind it. A body of which nothing came for a while
@@ -29,6 +30,7 @@
     private final long capacityBytes;
     private final Set<Reservation> inOrderOfArrival = new LinkedHashSet<>();
     private long heldBytes;
+    private int waitingCount;
 
     /** An account of so many bytes. */
     public MessageMemory(long capacityBytes) {
@@ -47,25 +49,62 @@
         return reservation;
     }
 
-    /** The bytes that are held by all reservations. */
+    /** The bytes that are held by all reservations, and without one. */
     public long heldBytes() {
         return heldBytes;
     }
 
+    /** Whether large bodies find no room. */
+    public boolean isFull() {
+        return heldBytes >= largeCapacityBytes();
+    }
+
+    /**
+     * Holds bytes without a reservation: those of responses on their way to their clients.
+     *
+     * @param change how many more bytes are held; fewer when it is negative
+     */
+    public void hold(int change, long nowUs) {
+        heldBytes += change;
+        if (change < 0) {
+            offerRoom(nowUs);
+        }
+    }
+
     /** Lets those that wait ask again, if there is room for them now. */
     public void offerRoom(long nowUs) {
+        if (waitingCount == 0) {
+            return;
+        }
         for (var reservation : List.copyOf(inOrderOfArrival)) {
-            if (reservation.waiting && roomFor(reservation, nowUs) > 0) {
+            if (reservation.waiting && mayGoOn(reservation, nowUs)) {
                 reservation.onRoom.run();
             }
         }
     }
 
+    private boolean mayGoOn(Reservation asking, long nowUs) {
+        return roomFor(asking, nowUs) > 0 || asking.readAhead && asking == oldestUnfinished();
+    }
+
+    private Reservation oldestUnfinished() {
+        for (var reservation : inOrderOfArrival) {
+            if (!reservation.completed) {
+                return reservation;
+            }
+        }
+        throw new IllegalStateException("no reservation is unfinished");
+    }
+
+    private long largeCapacityBytes() {
+        return (long) (capacityBytes * LARGE_SHARE);
+    }
+
     private long roomFor(Reservation asking, long nowUs) {
         if (asking.isSmall()) {
             return capacityBytes - heldBytes;
         }
-        var room = (long) (capacityBytes * LARGE_SHARE) - heldBytes;
+        var room = largeCapacityBytes() - heldBytes;
         for (var older : inOrderOfArrival) {
             if (older == asking || room <= 0) {
                 break;
@@ -82,6 +121,10 @@
         private long takenBytes;
         private long lastTakenUs;
         private boolean waiting;
+        private boolean completed;
+
+        /** Whether its bytes are counted when they were read already. */
+        private boolean readAhead;
 
         private Reservation(long expectedBytes, long nowUs, Runnable onRoom) {
             this.expectedBytes = expectedBytes;
@@ -92,21 +135,47 @@
         /** Takes as many of the wanted bytes as there is room for, and says how many these are. */
         public int take(int wantedBytes, long nowUs) {
             var granted = (int) Math.max(0, Math.min(wantedBytes, roomFor(this, nowUs)));
-            waiting = granted < wantedBytes;
-            takenBytes += granted;
-            heldBytes += granted;
-            lastTakenUs = granted > 0 ? nowUs : lastTakenUs;
+            count(granted, nowUs);
+            setWaiting(granted < wantedBytes);
             return granted;
         }
 
+        /**
+         * Takes bytes that were read already, whether there is room or not, and says whether more
+         * may be read now. The oldest body that is unfinished may always be read on, so that no two
+         * of unknown length wait for each other.
+         */
+        public boolean takeRead(int readBytes, long nowUs) {
+            readAhead = true;
+            count(readBytes, nowUs);
+            setWaiting(!mayGoOn(this, nowUs));
+            return !waiting;
+        }
+
+        private void count(int bytes, long nowUs) {
+            takenBytes += bytes;
+            heldBytes += bytes;
+            lastTakenUs = bytes > 0 ? nowUs : lastTakenUs;
+        }
+
+        private void setWaiting(boolean waits) {
+            if (waiting != waits) {
+                waiting = waits;
+                waitingCount += waits ? 1 : -1;
+            }
+        }
+
         /** The body was read to its end; it holds what it has taken. */
         public void complete() {
             expectedBytes = takenBytes;
+            completed = true;
+            setWaiting(false);
         }
 
         /** Gives everything back; does nothing the second time. */
         public void close(long nowUs) {
             if (inOrderOfArrival.remove(this)) {
+                setWaiting(false);
                 heldBytes -= takenBytes;
                 offerRoom(nowUs);
             }
--- a/edge/src/main/java/martenloom/edge/replica/InFlightAttempt.java
+++ b/edge/src/main/java/martenloom/edge/replica/InFlightAttempt.java
@@ -14,6 +14,12 @@
     /** When its request was sent, in microseconds; 0 while it is connecting. */
     long sentUs();
 
+    /** Whether its response is not read at present, since the client does not keep up. */
+    boolean readingPaused();
+
+    /** Since when the replica could have been heard, in microseconds; 0 while it is connecting. */
+    long awaitedSinceUs();
+
     /** The replica has said nothing for longer than its load explains. */
     void onReplicaUnresponsive(long nowUs);
 }
--- a/edge/src/main/java/martenloom/edge/replica/ReplicaEndpoint.java
+++ b/edge/src/main/java/martenloom/edge/replica/ReplicaEndpoint.java
@@ -193,14 +193,14 @@
     }
 
     /**
-     * The moment at which the first of the attempts in flight was sent, in microseconds; the given
-     * one when none was sent.
+     * Since when bytes of the replica are awaited, in microseconds; the given moment when none are,
+     * for nothing was sent or no response is read at present.
      */
-    public long firstSentUs(long ifNoneUs) {
+    public long awaitedSinceUs(long ifNoneUs) {
         var first = Long.MAX_VALUE;
         for (var attempt : attempts) {
-            if (attempt.sentUs() > 0) {
-                first = Math.min(first, attempt.sentUs());
+            if (attempt.sentUs() > 0 && !attempt.readingPaused()) {
+                first = Math.min(first, attempt.awaitedSinceUs());
             }
         }
         return first == Long.MAX_VALUE ? ifNoneUs : first;
--- a/edge/src/main/java/martenloom/edge/transport/SocketConnection.java
+++ b/edge/src/main/java/martenloom/edge/transport/SocketConnection.java
@@ -22,6 +22,9 @@
         /** There are bytes in the buffer that were not there before. */
         void onBytes();
 
+        /** So many more bytes wait to go out; fewer when it is negative. */
+        default void onUnsent(int change) {}
+
         /** The connection is closed; called once. */
         void onClosed();
     }
@@ -167,10 +170,12 @@
             return;
         }
         unsentBytes += bytes.length;
+        owner.onUnsent(bytes.length);
         socket.write(ByteBuf.wrapForReading(bytes))
                 .subscribe(
                         (done, failure) -> {
                             unsentBytes -= bytes.length;
+                            owner.onUnsent(-bytes.length);
                             if (failure != null || unsentBytes == 0 && closeWhenSent) {
                                 close();
                             }
--- a/edge/src/test/java/martenloom/edge/dispatch/ClientConnectionTest.java
+++ b/edge/src/test/java/martenloom/edge/dispatch/ClientConnectionTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.activej.eventloop.Eventloop;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -28,6 +29,7 @@
     private final List<String> events = new ArrayList<>();
     private final FakeSocket socket = new FakeSocket();
     private final MessageMemory memory = new MessageMemory(MEMORY_BYTES);
+    private final MessageMemory responses = new MessageMemory(MEMORY_BYTES);
     private boolean shutdown;
     private Eventloop loop;
     private ClientConnection connection;
@@ -40,10 +42,15 @@
                 }
 
                 @Override
-                public MessageMemory messageMemory() {
+                public MessageMemory requestMemory() {
                     return memory;
                 }
 
+                @Override
+                public MessageMemory responseMemory() {
+                    return responses;
+                }
+
                 @Override
                 public boolean closesConnections() {
                     return shutdown;
@@ -190,6 +197,40 @@
         assertTrue(socket.takeWritten().startsWith("HTTP/1.1 408 "));
     }
 
+    /** Guards against a 408 for a head in two pieces on a connection that had rested. */
+    @Test
+    void theTimeForAHeadCountsFromItsFirstByte() {
+        var openedUs = Clocks.nowUs();
+        while (Clocks.nowUs() - openedUs < 2_000) {
+            Thread.onSpinWait();
+        }
+        socket.receive(HEAD);
+        connection.enforceTimeouts(openedUs + 1_501_000);
+        assertEquals("", socket.takeWritten());
+    }
+
+    /** Guards against responses that pile up at an edge since their clients do not read. */
+    @Test
+    void whatWaitsToGoOutCountsInTheAccountOfResponses() {
+        var sent = socket.holdWrites();
+        socket.receive(HEAD + "\r\n");
+        connection.respond("HTTP/1.1 200 OK\r\n".getBytes(), "yes".getBytes());
+        assertEquals(socket.takeWritten().length(), responses.heldBytes());
+        sent.set(null);
+        assertEquals(0, responses.heldBytes());
+    }
+
+    @Test
+    void aClosedConnectionHoldsNothing() {
+        var sent = socket.holdWrites();
+        socket.receive(HEAD + "\r\n");
+        connection.respond("HTTP/1.1 200 OK\r\n".getBytes(), "yes".getBytes());
+        connection.close();
+        assertEquals(0, responses.heldBytes());
+        sent.setException(new IOException("closed"));
+        assertEquals(0, responses.heldBytes());
+    }
+
     @Test
     void anIdleConnectionIsClosedSoonerInShutdown() {
         connection.enforceTimeouts(Clocks.nowUs() + 2_500_000);
--- a/edge/src/test/java/martenloom/edge/load/ClusterLoadViewTest.java
+++ b/edge/src/test/java/martenloom/edge/load/ClusterLoadViewTest.java
@@ -42,6 +42,16 @@
             return NOW_US;
         }
 
+        @Override
+        public boolean readingPaused() {
+            return false;
+        }
+
+        @Override
+        public long awaitedSinceUs() {
+            return NOW_US;
+        }
+
         @Override
         public void onReplicaUnresponsive(long nowUs) {
             // nothing is in flight but its number
--- a/edge/src/test/java/martenloom/edge/memory/MessageMemoryTest.java
+++ b/edge/src/test/java/martenloom/edge/memory/MessageMemoryTest.java
@@ -97,6 +97,38 @@
         assertEquals(0, memory.heldBytes());
     }
 
+    /** Guards against responses of unknown length that wait for each other's end. */
+    @Test
+    void theOldestResponseThatIsUnfinishedIsAlwaysReadOn() {
+        var memory = new MessageMemory(160_000);
+        var first = open(memory, 0, "first");
+        var second = open(memory, 0, "second");
+        assertEquals(true, first.takeRead(BODY, 0));
+        assertEquals(false, second.takeRead(BODY, 0));
+        assertEquals(true, first.takeRead(BODY, 0));
+        assertEquals(List.of(), offers);
+        first.complete();
+        memory.offerRoom(0);
+        assertEquals(List.of("second"), offers, "it is the oldest now");
+        first.close(0);
+        second.close(0);
+        assertEquals(0, memory.heldBytes());
+    }
+
+    @Test
+    void whatWaitsToGoOutTakesRoomUntilItHasGone() {
+        var memory = new MessageMemory(160_000);
+        var oldest = open(memory, BODY, "oldest");
+        memory.hold(140_000, 0);
+        assertEquals(true, memory.isFull());
+        var response = open(memory, BODY, "response");
+        assertEquals(false, response.takeRead(PIECE, 0));
+        oldest.close(0);
+        memory.hold(-140_000, 0);
+        assertEquals(false, memory.isFull());
+        assertEquals(true, response.takeRead(PIECE, 0));
+    }
+
     @Test
     void aBodyIsHeldOnceAndGrowsWithItsBytes() {
         var announced = BodyBuffer.ofLength(BODY);
--- a/edge/src/test/java/martenloom/edge/transport/FakeSocket.java
+++ b/edge/src/test/java/martenloom/edge/transport/FakeSocket.java
@@ -12,6 +12,14 @@
     private final StringBuilder written = new StringBuilder();
     private SettablePromise<ByteBuf> pendingRead = new SettablePromise<>();
     private boolean closed;
+    private Promise<Void> nextWrite = Promise.complete();
+
+    /** From now on what is written does not go out; the promise that is returned lets it go. */
+    public SettablePromise<Void> holdWrites() {
+        var held = new SettablePromise<Void>();
+        nextWrite = held;
+        return held;
+    }
 
     /** Bytes come from the other side. */
     public void receive(String text) {
@@ -45,7 +53,7 @@
     @Override
     public Promise<Void> write(ByteBuf bytes) {
         written.append(new String(bytes.asArray(), StandardCharsets.ISO_8859_1));
-        return Promise.complete();
+        return nextWrite;
     }
 
     @Override
--- a/launcher/src/test/java/martenloom/launcher/harness/ClusterSettings.java
+++ b/launcher/src/test/java/martenloom/launcher/harness/ClusterSettings.java
@@ -9,6 +9,7 @@
     private static final int MOST_SEEDS = 3;
     private static final int MORE_INTERNAL_PORTS = 10;
     private static final int HEARTBEAT_INTERVAL_MS = 300;
+    private static final int CORE_MEMORY_MB = 512;
     private static final int MAX_FILE_DESCRIPTORS = 2000;
     private static final int GRACE_PERIOD_S = 5;
     private static final int RETRY_SLACK = 50;
@@ -17,8 +18,10 @@
     private final ClusterLayout layout;
     private final Path dir;
     private final List<String> seeds;
+    private final int edgeMemoryMb;
 
-    ClusterSettings(ClusterLayout layout, Path dir, int cores) {
+    ClusterSettings(ClusterLayout layout, Path dir, int cores, int edgeMemoryMb) {
+        this.edgeMemoryMb = edgeMemoryMb;
         this.layout = layout;
         this.dir = dir;
         seeds = IntStream.range(0, Math.min(MOST_SEEDS, cores)).mapToObj(layout::control).toList();
@@ -32,7 +35,7 @@
     String core(int core, boolean bootstrap, int internalPort) {
         var text = common("core", core, layout.core(core), internalPort);
         text.quoted("ControlPlane", layout.control(core));
-        bounds(text);
+        bounds(text, CORE_MEMORY_MB);
         return "Bootstrap = " + bootstrap + "\nQuorumMember = true\n" + text;
     }
 
@@ -41,7 +44,7 @@
         var text = common("edge", edge, ip, ClusterLayout.INTERNAL_PORT);
         text.quoted("Frontend", ip + ":" + ClusterLayout.FRONT_PORT);
         text.quoted("Readiness", ip + ":" + ClusterLayout.READINESS_PORT);
-        bounds(text);
+        bounds(text, edgeMemoryMb);
         return "Bootstrap = false\nQuorumMember = false\n" + text;
     }
 
@@ -61,8 +64,10 @@
         return text.section("ListenAddresses");
     }
 
-    private static void bounds(SettingsText text) {
-        text.section("Limits").value("MaxFileDescriptors", MAX_FILE_DESCRIPTORS);
+    private static void bounds(SettingsText text, int memoryMb) {
+        text.section("Limits")
+                .value("MaxFileDescriptors", MAX_FILE_DESCRIPTORS)
+                .value("MemoryMb", memoryMb);
         text.section("Bounds")
                 .value("GracePeriodS", GRACE_PERIOD_S)
                 .value("RetrySlack", RETRY_SLACK)
--- a/launcher/src/test/java/martenloom/launcher/harness/ReplicaConnection.java
+++ b/launcher/src/test/java/martenloom/launcher/harness/ReplicaConnection.java
@@ -156,7 +156,7 @@
         if (request.isStream()) {
             return stream(request);
         }
-        var text = "done by " + replica.service() + " for " + request.attempt();
+        var text = replica.responseText(request.attempt());
         if (replica.fault() == ReplicaFault.UNFRAMED) {
             return respondUnframed(head("200 OK", request), text);
         }
--- a/launcher/src/test/java/martenloom/launcher/harness/StandInReplica.java
+++ b/launcher/src/test/java/martenloom/launcher/harness/StandInReplica.java
@@ -48,6 +48,7 @@
 
     private volatile ReplicaFault fault = ReplicaFault.NONE;
     private volatile int executionMs;
+    private volatile int responseBytes;
     private volatile Predicate<String> failing = attempt -> true;
     private volatile CountDownLatch resumed = new CountDownLatch(1);
 
@@ -115,6 +116,17 @@
         executionMs = durationMs;
     }
 
+    /** From now on responses that are no streams have at least so many bytes. */
+    public void responseBytes(int bytes) {
+        responseBytes = bytes;
+    }
+
+    /** The body of its response to an attempt, other than a stream. */
+    public String responseText(String attempt) {
+        var text = "done by " + service + " for " + attempt;
+        return text + "x".repeat(Math.max(0, responseBytes - text.length()));
+    }
+
     /** The attempts that {@link ReplicaFault#SERVER_ERROR} fails; all of them at first. */
     public void failOnly(Predicate<String> attempts) {
         failing = attempts;
--- a/launcher/src/test/java/martenloom/launcher/harness/TestCluster.java
+++ b/launcher/src/test/java/martenloom/launcher/harness/TestCluster.java
@@ -56,9 +56,9 @@
     private final Map<Integer, EdgeDaemon> edges = new ConcurrentHashMap<>();
     private final Map<Integer, Settings> edgeSettings = new ConcurrentHashMap<>();
 
-    TestCluster(Path dir, int network, int coreCount, ScalingSettings scaling) {
+    TestCluster(Path dir, int network, int coreCount, int edgeMemoryMb, ScalingSettings scaling) {
         layout = new ClusterLayout(network);
-        settings = new ClusterSettings(layout, dir, coreCount);
+        settings = new ClusterSettings(layout, dir, coreCount, edgeMemoryMb);
         this.scaling = scaling;
         control = new ControlPlaneClient(layout, () -> runningCores().size());
         for (var i = 0; i < coreCount; i++) {
--- a/launcher/src/test/java/martenloom/launcher/harness/TestClusterBuilder.java
+++ b/launcher/src/test/java/martenloom/launcher/harness/TestClusterBuilder.java
@@ -19,6 +19,7 @@
     private static final int FIRST_NETWORK = 110;
 
     private static final int USUAL_CORES = 3;
+    private static final int USUAL_EDGE_MEMORY_MB = 512;
     private static final int USUAL_REVISION = 3;
     private static final int OK = 200;
     private static final AtomicInteger NEXT_NETWORK = new AtomicInteger(FIRST_NETWORK);
@@ -26,6 +27,7 @@
     private final Path dir;
     private final List<Replica> replicas = new ArrayList<>();
     private int cores = USUAL_CORES;
+    private int edgeMemoryMb = USUAL_EDGE_MEMORY_MB;
     private int[] edges = {};
     private Optional<Integer> network = Optional.empty();
     private Optional<String> configuration = Optional.of(TestConfiguration.of(USUAL_REVISION));
@@ -49,6 +51,12 @@
         return this;
     }
 
+    /** Edges that may use so much memory. */
+    public TestClusterBuilder edgeMemoryMb(int limitMb) {
+        edgeMemoryMb = limitMb;
+        return this;
+    }
+
     /** A loopback network of a given number, for tests whose recorded bytes hold addresses. */
     public TestClusterBuilder network(int number) {
         network = Optional.of(number);
@@ -107,7 +115,7 @@
     /** Starts everything and returns once the configuration is in force and the edges are ready. */
     public TestCluster start() {
         var number = network.orElseGet(NEXT_NETWORK::getAndIncrement);
-        var cluster = new TestCluster(dir, number, cores, scaling);
+        var cluster = new TestCluster(dir, number, cores, edgeMemoryMb, scaling);
         var started = false;
         try {
             startMembers(cluster);
