One bound for the bodies of the control API

Cause: each call might hold 8 MiB, on as many connections as there are descriptors, in a heap of 160 MiB.

--- a/core/src/main/java/martenloom/core/api/ControlApi.java
+++ b/core/src/main/java/martenloom/core/api/ControlApi.java
@@ -29,6 +29,10 @@
     private static final int THIRD = 3;
     private static final int FOURTH = 4;
 
+    /** The part of the heap that the bodies of calls may take together. */
+    private static final long BODIES_DIVISOR = 8;
+
+    private final RequestBodies bodies;
     private final CommandCalls commands;
     private final OperatorCalls operator;
     private final ReplicaCalls replicas;
@@ -37,8 +41,10 @@
 
     /** Serves nothing by itself, see {@link ControlServer}. */
     public ControlApi(ControlServices daemon) {
+        bodies =
+                new RequestBodies(daemon.loop(), Runtime.getRuntime().maxMemory() / BODIES_DIVISOR);
         commands = new CommandCalls(daemon.loop(), daemon.chain(), daemon.forwarder());
-        operator = new OperatorCalls(daemon.settings(), daemon.routes(), commands);
+        operator = new OperatorCalls(daemon.settings(), daemon.routes(), commands, bodies);
         replicas =
                 new ReplicaCalls(
                         daemon.settings(),
@@ -73,11 +79,10 @@
             case "POST placements/*/*/load" ->
                     operator.place(request, segments[SECOND], segments[THIRD], Placing.LOAD);
             case "POST instances/*/heartbeat" ->
-                    ApiRequests.body(request)
-                            .then(json -> replicas.heartbeat(segments[SECOND], json));
+                    bodies.read(request, json -> replicas.heartbeat(segments[SECOND], json));
             case "POST instances/*/deregister" -> replicas.deregister(segments[SECOND]);
             case "POST jobs/*/submit" ->
-                    ApiRequests.body(request).then(json -> jobs.submitJob(segments[SECOND], json));
+                    bodies.read(request, json -> jobs.submitJob(segments[SECOND], json));
             case "GET jobs" -> commands.submit(new ListJobs());
             case "GET jobs/*/describe" -> jobs.submit(segments[SECOND], GetJob::new);
             case "GET jobs/*/result" -> jobs.submit(segments[SECOND], GetJobResult::new);
--- a/core/src/main/java/martenloom/core/api/OperatorCalls.java
+++ b/core/src/main/java/martenloom/core/api/OperatorCalls.java
@@ -23,11 +23,14 @@
     private final Settings settings;
     private final CompiledRoutes routes;
     private final CommandCalls commands;
+    private final RequestBodies bodies;
 
-    OperatorCalls(Settings settings, CompiledRoutes routes, CommandCalls commands) {
+    OperatorCalls(
+            Settings settings, CompiledRoutes routes, CommandCalls commands, RequestBodies bodies) {
         this.settings = settings;
         this.routes = routes;
         this.commands = commands;
+        this.bodies = bodies;
     }
 
     /**
@@ -44,8 +47,7 @@
         } catch (NumberFormatException e) {
             return ApiResponses.badRequest("X-Base-Revision: '" + header + "' is not a number");
         }
-        return ApiRequests.body(request)
-                .then(json -> commands.submit(change.apply(baseRevision, json)));
+        return bodies.read(request, json -> commands.submit(change.apply(baseRevision, json)));
     }
 
     /**
@@ -82,8 +84,8 @@
 
     /** Submits an order without a base once its call was read to its end. */
     private Promise<HttpResponse> submitWhileWaiting(HttpRequest request, Command order) {
-        return ApiRequests.body(request)
-                .then(unused -> commands.submitWhileWaiting(order, Caller.of(request)));
+        return bodies.read(
+                request, unused -> commands.submitWhileWaiting(order, Caller.of(request)));
     }
 
     private boolean isServed(String model) {
