One bound for what waits on all links between daemons

Cause: a link that is not read was closed at 32 MiB, whatever the number of links, so five such links took the heap.

Change: once a quarter of the heap waits on all links of a daemon, the one on which most waits is closed; its peer catches up when it is back.

--- a/common/src/main/java/martenloom/common/link/LinkTraffic.java
+++ b/common/src/main/java/martenloom/common/link/LinkTraffic.java
@@ -1,19 +1,26 @@
 package martenloom.common.link;
 
 import java.util.Arrays;
+import java.util.Comparator;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * Counts the records and bytes that the links of one reactor thread have sent, by type of record.
- * Only that thread counts; any thread may read, and may then see a value that is slightly old.
+ * Counts the records and bytes that the links of one reactor thread have sent, by type of record,
+ * and the bytes that wait to be sent on all of them. Only that thread counts; any thread may read,
+ * and may then see a value that is slightly old.
  */
 public final class LinkTraffic {
     private static final Map<String, LinkTraffic> BY_THREAD = new ConcurrentHashMap<>();
     private static final int TYPES = 128;
     private static final int LENGTH_BYTES = 4;
 
+    private final Set<PeerLink> backlogged = new LinkedHashSet<>();
+    private long unsentBytes;
     private final long[] records = new long[TYPES];
     private final long[] bytes = new long[TYPES];
 
@@ -33,6 +40,30 @@
         return BY_THREAD.getOrDefault(name, new LinkTraffic());
     }
 
+    /**
+     * Counts what waits to be sent on a link of this thread.
+     *
+     * @param change how many more bytes wait there; fewer when it is negative
+     */
+    void countUnsent(PeerLink link, int change) {
+        unsentBytes += change;
+        if (link.unsentBytes() > 0) {
+            backlogged.add(link);
+        } else {
+            backlogged.remove(link);
+        }
+    }
+
+    /** What waits to be sent on all links of this thread. */
+    long unsentBytes() {
+        return unsentBytes;
+    }
+
+    /** The link of this thread on which most waits to be sent. */
+    Optional<PeerLink> slowestLink() {
+        return backlogged.stream().max(Comparator.comparingInt(PeerLink::unsentBytes));
+    }
+
     void countSent(byte[] record) {
         var type = record.length == 0 ? 0 : record[0] & (TYPES - 1);
         records[type]++;
--- a/common/src/main/java/martenloom/common/link/PeerLink.java
+++ b/common/src/main/java/martenloom/common/link/PeerLink.java
@@ -3,6 +3,7 @@
 import io.activej.bytebuf.ByteBuf;
 import io.activej.bytebuf.ByteBufPool;
 import io.activej.net.socket.tcp.ITcpSocket;
+import io.activej.reactor.Reactor;
 import java.util.Arrays;
 import martenloom.common.clock.Clocks;
 import martenloom.common.log.RingLog;
@@ -20,6 +21,13 @@
     private static final int MAX_RECORD_BYTES = 24 << 20;
 
     private static final int MAX_UNSENT_BYTES = 32 << 20;
+
+    /** What may wait to be sent on all links of a thread together, as a part of the heap. */
+    private static final long UNSENT_DIVISOR = 4;
+
+    private static final long MAX_UNSENT_ON_ALL_LINKS_BYTES =
+            Runtime.getRuntime().maxMemory() / UNSENT_DIVISOR;
+
     private static final int INITIAL_BUFFER_BYTES = 1024;
 
     /** A larger buffer is given back as soon as it is empty. */
@@ -93,33 +101,52 @@
 
     /**
      * Sends a record; does nothing on a closed link. A link to a peer that does not read is closed
-     * once {@link #MAX_UNSENT_BYTES} wait to be sent.
+     * once {@link #MAX_UNSENT_BYTES} wait to be sent, or if most waits there once {@link
+     * #MAX_UNSENT_ON_ALL_LINKS_BYTES} do.
      */
     public void send(byte[] record) {
         if (!open) {
             return;
         }
         if (unsentBytes > MAX_UNSENT_BYTES) {
-            RingLog.debug("link " + peer + ": does not read, dropped");
-            close();
+            drop();
             return;
         }
+        if (traffic.unsentBytes() > MAX_UNSENT_ON_ALL_LINKS_BYTES) {
+            traffic.slowestLink()
+                    .ifPresent(slowest -> Reactor.getCurrentReactor().post(slowest::drop));
+        }
         var frameBytes = record.length + LENGTH_BYTES;
         var frame = ByteBufPool.allocate(frameBytes);
         frame.writeInt(record.length);
         frame.put(record);
-        unsentBytes += frameBytes;
+        countUnsent(frameBytes);
         traffic.countSent(record);
         socket.write(frame)
                 .subscribe(
                         (nothing, error) -> {
-                            unsentBytes -= frameBytes;
+                            countUnsent(-frameBytes);
                             if (error != null) {
                                 close();
                             }
                         });
     }
 
+    private void countUnsent(int change) {
+        unsentBytes += change;
+        traffic.countUnsent(this, change);
+    }
+
+    /** Bytes that wait to be sent. */
+    int unsentBytes() {
+        return unsentBytes;
+    }
+
+    private void drop() {
+        RingLog.debug("link " + peer + ": does not read, dropped");
+        close();
+    }
+
     /** Closes the link and tells its handler; does nothing on a closed link. */
     public void close() {
         if (open) {
