A process of which a thread ends by an error says why and ends

Change: errors of the virtual machine and the end of any thread go to one handler, which prints one line and ends with exit code 3. Exceptions are logged as before.

--- a/common/src/main/java/martenloom/common/clock/Clocks.java
+++ b/common/src/main/java/martenloom/common/clock/Clocks.java
@@ -27,10 +27,23 @@
         return Eventloop.builder()
                 .withThreadName(name)
                 .withTimeProvider(() -> System.nanoTime() / NS_PER_MS + REACTOR_OFFSET_MS)
-                .withFatalErrorHandler((error, context) -> RingLog.error("fatal at " + name, error))
+                .withFatalErrorHandler((error, context) -> onFatalError(name, error))
                 .build();
     }
 
+    /**
+     * An exception is logged, and the reactor goes on. After an error of the virtual machine
+     * nothing can be relied on, so it goes to the handler of uncaught exceptions.
+     */
+    private static void onFatalError(String reactor, Throwable error) {
+        if (error instanceof VirtualMachineError || error instanceof LinkageError) {
+            var thread = Thread.currentThread();
+            thread.getUncaughtExceptionHandler().uncaughtException(thread, error);
+        } else {
+            RingLog.error("fatal at " + reactor, error);
+        }
+    }
+
     /** Runs a task once on the reactor thread after a delay in microseconds. */
     public static ReactorTimer after(Eventloop loop, long delayUs, Runnable task) {
         return new ReactorTimer(loop, delayUs, task);
--- a/launcher/src/main/java/martenloom/launcher/ExitStatus.java
+++ b/launcher/src/main/java/martenloom/launcher/ExitStatus.java
@@ -8,7 +8,9 @@
     /** A check did not pass, or a file, disk or link could not be used. */
     FAILURE(1),
     /** The command line is not understood. */
-    USAGE_ERROR(2);
+    USAGE_ERROR(2),
+    /** A thread ended that must not, or there was no heap left. */
+    INTERNAL_ERROR(3);
 
     private final int code;
 
--- a/launcher/src/main/java/martenloom/launcher/RoleRunner.java
+++ b/launcher/src/main/java/martenloom/launcher/RoleRunner.java
@@ -32,6 +32,7 @@
         var scaling = parseScaling(role, args);
         var settings =
                 SettingsFile.load(Optional.ofNullable(System.getenv(SETTINGS_VARIABLE)).orElse(""));
+        Thread.setDefaultUncaughtExceptionHandler(RoleRunner::haltAfter);
         var loop = Clocks.reactor(role);
         loop.keepAlive(true);
         loop.execute(() -> watchSettings(settings, loop));
@@ -114,6 +115,15 @@
         }
     }
 
+    /**
+     * A thread of a daemon ended, or the virtual machine failed: the process says why and ends,
+     * since nobody would do the work of that thread.
+     */
+    private static void haltAfter(Thread thread, Throwable error) {
+        System.err.println("martenloom: thread " + thread.getName() + " ended: " + error);
+        Runtime.getRuntime().halt(ExitStatus.INTERNAL_ERROR.code());
+    }
+
     private static LinkException cannotListen(Exception cause) {
         return new LinkException("listen", String.valueOf(cause.getMessage()));
     }
