Results of jobs are bytes with their media type

Cause: the call that reads a result made UTF-8 text of its bytes; the media type was not kept.

Evidence: DeferredJobsTest.aResultHasTheBytesAndTheMediaTypeOfItsResponse with the former call: 72,629 bytes in place of 40,000.

Change: ReadJobResult answers media type and base 64, the control API gives just these bytes. The media type comes with the report of the edge and stands behind the former fields of the state; recorded bytes of the former form are read and written as before, and the new form has its own entries.

--- a/common/src/main/java/martenloom/common/codec/RecordReader.java
+++ b/common/src/main/java/martenloom/common/codec/RecordReader.java
@@ -51,6 +51,11 @@
         }
     }
 
+    /** Whether there are bytes that were not read: fields of a newer form of the record. */
+    public boolean hasMore() {
+        return step(in::available) > 0;
+    }
+
     /** One unsigned byte. */
     public int u8() {
         return step(in::readUnsignedByte);
--- a/common/src/main/java/martenloom/common/jobs/Job.java
+++ b/common/src/main/java/martenloom/common/jobs/Job.java
@@ -59,6 +59,9 @@
 
     private byte[] result = new byte[0];
 
+    /** The media type of the result; empty when it is not known. */
+    private String mediaType = "";
+
     /** Whether the submitter has confirmed the receipt of the result. */
     private boolean confirmed;
 
@@ -219,6 +222,14 @@
         this.result = result;
     }
 
+    public String mediaType() {
+        return mediaType;
+    }
+
+    public void setMediaType(String mediaType) {
+        this.mediaType = mediaType;
+    }
+
     public boolean confirmed() {
         return confirmed;
     }
@@ -277,6 +288,8 @@
     public Job copy() {
         var out = new RecordWriter();
         JobCodec.write(this, out);
-        return JobCodec.read(new RecordReader(out.bytes(), false));
+        var copy = JobCodec.read(new RecordReader(out.bytes(), false));
+        copy.setMediaType(mediaType);
+        return copy;
     }
 }
--- a/core/src/main/java/martenloom/core/api/ApiResponses.java
+++ b/core/src/main/java/martenloom/core/api/ApiResponses.java
@@ -4,10 +4,12 @@
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
 import java.nio.charset.StandardCharsets;
+import martenloom.core.state.JobResult;
 
 /** The responses of the control API: JSON when a call succeeds, else a reason in plain text. */
 final class ApiResponses {
     private static final String EMPTY_OBJECT = "{}";
+    private static final String UNKNOWN_CONTENT = "application/octet-stream";
     private static final String RETRY_AFTER_S = "0.2";
     private static final String SHUTDOWN_RETRY_AFTER_S = "1";
 
@@ -36,6 +38,15 @@
         return builder.build();
     }
 
+    /** The result of a job, just as its replica sent it. */
+    static HttpResponse content(JobResult result) {
+        var mediaType = result.mediaType().isEmpty() ? UNKNOWN_CONTENT : result.mediaType();
+        return HttpResponse.ofCode(HttpStatus.OK)
+                .withHeader(HttpHeaders.CONTENT_TYPE, mediaType)
+                .withBody(result.content())
+                .build();
+    }
+
     static Promise<HttpResponse> badRequest(String reason) {
         return refused(HttpStatus.BAD_REQUEST, reason);
     }
--- a/core/src/main/java/martenloom/core/api/CommandCalls.java
+++ b/core/src/main/java/martenloom/core/api/CommandCalls.java
@@ -5,6 +5,7 @@
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
 import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 import martenloom.common.clock.Clocks;
 import martenloom.common.log.RingLog;
 import martenloom.core.chain.ChainMember;
@@ -44,9 +45,20 @@
 
     /** Submits a command of which a copy that comes late does nothing. */
     Promise<HttpResponse> submit(Command command) {
-        var response = new SettablePromise<HttpResponse>();
-        submit(StampedCommand.of(command), Clocks.nowUs(), () -> true, response);
-        return response;
+        return submit(command, CommandCalls::success);
+    }
+
+    /**
+     * Submits a command of which a copy that comes late does nothing.
+     *
+     * @param onSuccess makes the response from the text of the result
+     */
+    Promise<HttpResponse> submit(Command command, Function<String, HttpResponse> onSuccess) {
+        var pending =
+                new PendingCommand(
+                        StampedCommand.of(command), Clocks.nowUs(), () -> true, onSuccess);
+        submit(pending);
+        return pending.response;
     }
 
     /**
@@ -58,18 +70,21 @@
      * @param caller the caller, whose call was read to its end
      */
     Promise<HttpResponse> submitWhileWaiting(Command order, Caller caller) {
-        var calledUs = Clocks.nowUs();
-        var stamped = chain.committed().accepted(order);
-        var response = new SettablePromise<HttpResponse>();
+        var pending =
+                new PendingCommand(
+                        chain.committed().accepted(order),
+                        Clocks.nowUs(),
+                        caller::isWaiting,
+                        CommandCalls::success);
         waitingForEnd++;
         Clocks.after(
                 loop,
                 LATE_END_US,
                 () -> {
                     waitingForEnd--;
-                    submit(stamped, calledUs, caller::isWaiting, response);
+                    submit(pending);
                 });
-        return response;
+        return pending.response;
     }
 
     /** Whether a caller waits for an order that was not submitted yet. */
@@ -77,36 +92,50 @@
         return waitingForEnd > 0;
     }
 
-    private void submit(
-            StampedCommand command,
-            long calledUs,
-            BooleanSupplier callerWaits,
-            SettablePromise<HttpResponse> response) {
-        if (!callerWaits.getAsBoolean()) {
-            refuseLateCopy(command, response);
+    private void submit(PendingCommand pending) {
+        if (!pending.callerWaits.getAsBoolean()) {
+            pending.complete(ResultCode.UNAVAILABLE, "the caller has closed the connection");
             return;
         }
         forwarder.submit(
-                command,
+                pending.command,
                 (code, text) -> {
                     if (code == ResultCode.UNAVAILABLE
-                            && Clocks.nowUs() - calledUs < RETRY_WINDOW_US) {
-                        Clocks.after(
-                                loop,
-                                RETRY_PAUSE_US,
-                                () -> submit(command, calledUs, callerWaits, response));
+                            && Clocks.nowUs() - pending.calledUs < RETRY_WINDOW_US) {
+                        Clocks.after(loop, RETRY_PAUSE_US, () -> submit(pending));
                     } else {
-                        log(command, code, text);
-                        response.set(response(code, text));
+                        pending.complete(code, text);
                     }
                 });
     }
 
-    private static void refuseLateCopy(
-            StampedCommand command, SettablePromise<HttpResponse> response) {
-        var reason = "the caller has closed the connection";
-        log(command, ResultCode.UNAVAILABLE, reason);
-        response.set(response(ResultCode.UNAVAILABLE, reason));
+    /**
+     * A command of a call that is not answered.
+     *
+     * @param callerWaits asked before each submission; when nobody waits, it is not submitted
+     * @param onSuccess makes the response from the text of the result
+     */
+    private record PendingCommand(
+            StampedCommand command,
+            long calledUs,
+            BooleanSupplier callerWaits,
+            Function<String, HttpResponse> onSuccess,
+            SettablePromise<HttpResponse> response) {
+        PendingCommand(
+                StampedCommand command,
+                long calledUs,
+                BooleanSupplier callerWaits,
+                Function<String, HttpResponse> onSuccess) {
+            this(command, calledUs, callerWaits, onSuccess, new SettablePromise<>());
+        }
+
+        void complete(ResultCode code, String text) {
+            log(command, code, text);
+            response.set(
+                    code == ResultCode.OK
+                            ? onSuccess.apply(text)
+                            : ApiResponses.response(httpStatus(code), text));
+        }
     }
 
     private static void log(StampedCommand command, ResultCode code, String text) {
@@ -119,10 +148,8 @@
                         + (code == ResultCode.OK ? "" : text));
     }
 
-    private static HttpResponse response(ResultCode code, String text) {
-        return code == ResultCode.OK && text.isEmpty()
-                ? ApiResponses.ok()
-                : ApiResponses.response(httpStatus(code), text);
+    private static HttpResponse success(String text) {
+        return text.isEmpty() ? ApiResponses.ok() : ApiResponses.ok(text);
     }
 
     /**
--- a/core/src/main/java/martenloom/core/api/ControlApi.java
+++ b/core/src/main/java/martenloom/core/api/ControlApi.java
@@ -8,7 +8,6 @@
 import martenloom.core.state.Command.ConfirmJobResult;
 import martenloom.core.state.Command.FinishEvacuation;
 import martenloom.core.state.Command.GetJob;
-import martenloom.core.state.Command.GetJobResult;
 import martenloom.core.state.Command.ListJobs;
 import martenloom.core.state.Command.Placing;
 import martenloom.core.state.Command.ReadConfiguration;
@@ -85,7 +84,7 @@
                     bodies.read(request, json -> jobs.submitJob(segments[SECOND], json));
             case "GET jobs" -> commands.submit(new ListJobs());
             case "GET jobs/*/describe" -> jobs.submit(segments[SECOND], GetJob::new);
-            case "GET jobs/*/result" -> jobs.submit(segments[SECOND], GetJobResult::new);
+            case "GET jobs/*/result" -> jobs.result(segments[SECOND]);
             case "POST jobs/*/confirm" -> jobs.submit(segments[SECOND], ConfirmJobResult::new);
             case "POST jobs/*/cancel" -> jobs.submit(segments[SECOND], CancelJob::new);
             default ->
--- a/core/src/main/java/martenloom/core/api/JobCalls.java
+++ b/core/src/main/java/martenloom/core/api/JobCalls.java
@@ -14,7 +14,9 @@
 import martenloom.core.configuration.CompiledRoutes;
 import martenloom.core.peer.PeerRegions;
 import martenloom.core.state.Command;
+import martenloom.core.state.Command.ReadJobResult;
 import martenloom.core.state.Command.SubmitJob;
+import martenloom.core.state.JobResult;
 import martenloom.routing.route.Route;
 import martenloom.routing.route.RouteKind;
 
@@ -45,6 +47,17 @@
         return commands.submit(command.apply(ApiRequests.decode(segment)));
     }
 
+    /**
+     * Reads the result of a job.
+     *
+     * @param segment the id of the job as the path names it
+     */
+    Promise<HttpResponse> result(String segment) {
+        return commands.submit(
+                new ReadJobResult(ApiRequests.decode(segment)),
+                text -> ApiResponses.content(JobResult.decode(text)));
+    }
+
     /**
      * Submits a new job.
      *
--- a/core/src/main/java/martenloom/core/state/ClusterState.java
+++ b/core/src/main/java/martenloom/core/state/ClusterState.java
@@ -129,7 +129,9 @@
         jobs.write(out);
         scaling.writeTargets(out);
         writeVersions(out);
-        return out.texts(roster.departed()).bytes();
+        out.texts(roster.departed());
+        jobs.writeExtensions(out);
+        return out.bytes();
     }
 
     /** Decodes a state. */
@@ -145,6 +147,7 @@
         var versions = new TreeMap<String, Long>();
         in.list(reader -> versions.put(reader.text(), reader.i64()));
         var departed = new TreeSet<>(in.texts());
+        jobs.readExtensions(in);
         return new ClusterState(
                 edition,
                 new MemberRoster(members, departed),
--- a/core/src/main/java/martenloom/core/state/Command.java
+++ b/core/src/main/java/martenloom/core/state/Command.java
@@ -215,7 +215,13 @@
 
     /** A command about one job. */
     sealed interface OneJobCommand extends JobCommand
-            permits SubmitJob, GetJob, GetJobResult, ConfirmJobResult, CancelJob, JobRunnerCommand {
+            permits SubmitJob,
+                    GetJob,
+                    GetJobResult,
+                    ReadJobResult,
+                    ConfirmJobResult,
+                    CancelJob,
+                    JobRunnerCommand {
         /** The job concerned. */
         String jobId();
     }
@@ -245,7 +251,7 @@
         }
     }
 
-    /** Reads the result of a finished job. */
+    /** Reads the result of a finished job as text; daemons of the first version ask for it. */
     record GetJobResult(String jobId) implements OneJobCommand {
         @Override
         public CommandType type() {
@@ -253,6 +259,14 @@
         }
     }
 
+    /** Reads the result of a finished job; answered by an encoded {@link JobResult}. */
+    record ReadJobResult(String jobId) implements OneJobCommand {
+        @Override
+        public CommandType type() {
+            return CommandType.READ_JOB_RESULT;
+        }
+    }
+
     /** Acknowledges the result of a job, which is released then. */
     record ConfirmJobResult(String jobId) implements OneJobCommand {
         @Override
@@ -330,7 +344,11 @@
         /** The end of the run, decoded anew at each call. */
         JobCompletion completion() {
             var in = decoded(encodedCompletion);
-            return new JobCompletion(in.i32(), in.i32(), in.blob());
+            return new JobCompletion(
+                    in.i32(),
+                    in.i32(),
+                    in.blob(),
+                    in.hasMore() ? in.text() : JobResult.UNKNOWN_TYPE);
         }
     }
 
@@ -340,8 +358,9 @@
      * @param status the status of the replica's response
      * @param offset how much of the output was saved before, in bytes
      * @param content the rest of the output
+     * @param mediaType the media type of the response; empty when the edge did not tell
      */
-    record JobCompletion(int status, int offset, byte[] content) {}
+    record JobCompletion(int status, int offset, byte[] content, String mediaType) {}
 
     /**
      * Ends a run that brought no result.
--- a/core/src/main/java/martenloom/core/state/CommandCodec.java
+++ b/core/src/main/java/martenloom/core/state/CommandCodec.java
@@ -21,6 +21,7 @@
 import martenloom.core.state.Command.OneJobCommand;
 import martenloom.core.state.Command.Placing;
 import martenloom.core.state.Command.ReadConfiguration;
+import martenloom.core.state.Command.ReadJobResult;
 import martenloom.core.state.Command.RemoveMember;
 import martenloom.core.state.Command.ReplaceConfiguration;
 import martenloom.core.state.Command.ReturnJob;
@@ -160,6 +161,7 @@
             case GET_JOB -> new GetJob(subject);
             case LIST_JOBS -> new ListJobs();
             case GET_JOB_RESULT -> new GetJobResult(subject);
+            case READ_JOB_RESULT -> new ReadJobResult(subject);
             case CONFIRM_JOB_RESULT -> new ConfirmJobResult(subject);
             case CANCEL_JOB -> new CancelJob(subject);
             case START_JOB -> new StartJob(subject, base, version, body);
--- a/core/src/main/java/martenloom/core/state/CommandType.java
+++ b/core/src/main/java/martenloom/core/state/CommandType.java
@@ -29,7 +29,8 @@
     SET_REPLICA_COUNT("SCALE"),
     SET_PLACEMENT("PLACE"),
     REMOVE_MEMBER("ROSTER_OUT"),
-    MARK_DEPARTING("LEAVE");
+    MARK_DEPARTING("LEAVE"),
+    READ_JOB_RESULT("JOB_READ");
 
     private static final CommandType[] BY_NUMBER = values();
 
--- a/core/src/main/java/martenloom/core/state/JobClientRules.java
+++ b/core/src/main/java/martenloom/core/state/JobClientRules.java
@@ -7,6 +7,7 @@
 import martenloom.core.state.Command.CancelJob;
 import martenloom.core.state.Command.ConfirmJobResult;
 import martenloom.core.state.Command.GetJob;
+import martenloom.core.state.Command.GetJobResult;
 import martenloom.core.state.Command.OneJobCommand;
 
 /** What callers of the control API may do with jobs: the rules of one moment of a table. */
@@ -69,19 +70,23 @@
         if (command instanceof ConfirmJobResult) {
             return confirm(job);
         }
-        return command instanceof CancelJob ? cancel(job) : result(job);
+        return command instanceof CancelJob ? cancel(job) : result(command, job);
     }
 
-    private CommandResult<JobTable> result(Job job) {
+    private CommandResult<JobTable> result(OneJobCommand command, Job job) {
         if (job.state() != JobState.DONE) {
             return CommandResult.conflict(
                     JobReports.standing(job) + (job.reason().isEmpty() ? "" : ": " + job.reason()));
         }
-        return job.confirmed()
-                ? CommandResult.refused(
-                        ResultCode.RELEASED,
-                        "the result of job '" + job.id() + "' was confirmed and let go")
-                : CommandResult.unchanged(new String(job.result(), StandardCharsets.UTF_8));
+        if (job.confirmed()) {
+            return CommandResult.refused(
+                    ResultCode.RELEASED,
+                    "the result of job '" + job.id() + "' was confirmed and let go");
+        }
+        return CommandResult.unchanged(
+                command instanceof GetJobResult
+                        ? new String(job.result(), StandardCharsets.UTF_8)
+                        : new JobResult(job.mediaType(), job.result()).encode());
     }
 
     private CommandResult<JobTable> confirm(Job job) {
--- a/core/src/main/java/martenloom/core/state/JobRunnerRules.java
+++ b/core/src/main/java/martenloom/core/state/JobRunnerRules.java
@@ -121,6 +121,7 @@
         }
         var done = table.ended(job, JobState.DONE, "", atUs);
         done.setStatus(completion.status());
+        done.setMediaType(completion.mediaType());
         done.setResult(job.checkpointFollowedBy(completion.content()));
         done.setCheckpoint(new byte[0]);
         done.setBody(new byte[0]);
--- a/core/src/main/java/martenloom/core/state/JobTable.java
+++ b/core/src/main/java/martenloom/core/state/JobTable.java
@@ -63,6 +63,29 @@
         return new JobTable(clockUs, jobs);
     }
 
+    /**
+     * Writes what jobs have beyond their first form, a list with a row for each that has it;
+     * nothing where none has.
+     */
+    void writeExtensions(RecordWriter out) {
+        var extended = byId.values().stream().filter(job -> !job.mediaType().isEmpty()).toList();
+        if (!extended.isEmpty()) {
+            out.list(extended, (row, job) -> row.text(job.id()).text(job.mediaType()));
+        }
+    }
+
+    /** Reads what {@link #writeExtensions} wrote into jobs that were read just now. */
+    void readExtensions(RecordReader in) {
+        if (in.hasMore()) {
+            in.list(
+                    row -> {
+                        var job = byId.get(row.text());
+                        job.setMediaType(row.text());
+                        return job;
+                    });
+        }
+    }
+
     /** How many jobs wait or run. */
     public long live() {
         return byId.values().stream().filter(job -> job.state().isLive()).count();
--- a/core/src/test/java/martenloom/core/golden/FilledState.java
+++ b/core/src/test/java/martenloom/core/golden/FilledState.java
@@ -73,6 +73,17 @@
         return filled.state;
     }
 
+    /** A state with a result that has a media type. */
+    static ClusterState withMediaType() {
+        var filled = new FilledState();
+        filled.duties();
+        filled.submit("job-image", true, LONG_TIME_US);
+        filled.run("job-image");
+        var completion = done(0, "an image").text("image/png");
+        filled.take(new FinishJob("job-image", GRANT, 1, base64(completion)), ENDED_AT_US);
+        return filled.state;
+    }
+
     private void members() {
         order(new AddMember("10.3.0.1"));
         order(new AddMember("10.4.0.1"));
--- a/core/src/test/java/martenloom/core/golden/MemberStateGoldenTest.java
+++ b/core/src/test/java/martenloom/core/golden/MemberStateGoldenTest.java
@@ -34,6 +34,7 @@
 import martenloom.core.state.Command.MarkDeparting;
 import martenloom.core.state.Command.Placing;
 import martenloom.core.state.Command.ReadConfiguration;
+import martenloom.core.state.Command.ReadJobResult;
 import martenloom.core.state.Command.RemoveMember;
 import martenloom.core.state.Command.ReplaceConfiguration;
 import martenloom.core.state.Command.ReturnJob;
@@ -68,6 +69,7 @@
                 "member state, founded",
                 new PersistentMemberState(Ballot.ZERO, Ballot.ZERO, founded).encode());
         states.put("member state, every part filled", filledMember().encode());
+        states.put("core state, media type of a result", FilledState.withMediaType().bytes());
         return states;
     }
 
@@ -126,6 +128,9 @@
         var failure = body(new RecordWriter().u8(1).text("it was let go, süd"));
         changes.put("give job back", stamped(new ReturnJob("job-1", 6, 3, failure)));
         changes.put("advance clock of jobs", stamped(new AdvanceJobClock()));
+        changes.put("read result of job", stamped(new ReadJobResult("job-1")));
+        var typed = body(new RecordWriter().i32(200).i32(15).blob(PART).text("image/png"));
+        changes.put("finish job with its media type", stamped(new FinishJob("job-1", 6, 3, typed)));
     }
 
     private static final String JSON = "{\"Revision\":9,\"Routes\":[],\"Name\":\"süd\"}";
--- a/core/src/test/java/martenloom/core/state/CommandCodecTest.java
+++ b/core/src/test/java/martenloom/core/state/CommandCodecTest.java
@@ -41,7 +41,8 @@
                     "SCALE",
                     "PLACE",
                     "ROSTER_OUT",
-                    "LEAVE");
+                    "LEAVE",
+                    "JOB_READ");
 
     @Test
     void numbersAndNamesOfTheKindsStand() {
@@ -53,7 +54,7 @@
             assertEquals(number, type.number());
             assertEquals(type, CommandType.ofWireName(WIRE_NAMES.get(number)));
         }
-        assertThrows(MalformedRecordException.class, () -> CommandType.ofNumber(22));
+        assertThrows(MalformedRecordException.class, () -> CommandType.ofNumber(WIRE_NAMES.size()));
         assertThrows(MalformedRecordException.class, () -> CommandType.ofWireName("CANCEL_JOB"));
     }
 
--- a/edge/src/main/java/martenloom/edge/jobs/JobReports.java
+++ b/edge/src/main/java/martenloom/edge/jobs/JobReports.java
@@ -48,8 +48,14 @@
      *
      * @param offset where the rest of the output begins in the whole, in bytes
      */
-    void finish(RunId run, int status, int offset, byte[] rest, Consumer<CoreReply> onReply) {
-        var body = new RecordWriter().i32(status).i32(offset).blob(rest);
+    void finish(
+            RunId run, ResultHead result, int offset, byte[] rest, Consumer<CoreReply> onReply) {
+        var body =
+                new RecordWriter()
+                        .i32(result.status())
+                        .i32(offset)
+                        .blob(rest)
+                        .text(result.mediaType());
         send(CoreCommand.FINISH_JOB, run, encode(body), onReply);
     }
 
--- a/edge/src/main/java/martenloom/edge/jobs/JobRun.java
+++ b/edge/src/main/java/martenloom/edge/jobs/JobRun.java
@@ -31,9 +31,6 @@
 
     private static final int MAX_AWAIT_SAVE_ATTEMPTS = 200;
 
-    private static final int STATUS_FROM = 9;
-    private static final int STATUS_TO = 12;
-
     /** What a run needs of the runner of the jobs. */
     interface Owner {
         /** The run is over and need not be known any more. */
@@ -60,6 +57,9 @@
 
     private Optional<Request> request = Optional.empty();
 
+    /** The head of the response, once it has come. */
+    private ResultHead result = new ResultHead(HttpStatus.OK, "");
+
     /** The output that the core has, in bytes. */
     private int savedBytes;
 
@@ -103,11 +103,12 @@
     @Override
     public void respond(byte[] headBytes, byte[] body) {
         var head = new String(headBytes, StandardCharsets.ISO_8859_1);
-        var status = Integer.parseInt(head.substring(STATUS_FROM, STATUS_TO));
+        result = ResultHead.read(headBytes);
+        var status = result.status();
         var sealed = head.toLowerCase(Locale.ROOT).contains("\r\nx-server-seal:");
         if (sealed && HttpStatus.isSuccess(status)) {
             output.writeBytes(body);
-            reportResult(status);
+            reportResult();
         } else if (sealed || head.contains(HeaderField.ATTEMPT_ID)) {
             reportFailure(RunFailure.RAN_AND_FAILED, "the replica answered " + status);
         } else {
@@ -122,7 +123,7 @@
 
     @Override
     public void beginStream(byte[] head) {
-        // Its events are the output.
+        result = ResultHead.read(head);
     }
 
     @Override
@@ -135,7 +136,7 @@
 
     @Override
     public void endStream() {
-        reportResult(HttpStatus.OK);
+        reportResult();
     }
 
     @Override
@@ -185,10 +186,10 @@
 
     // ---- reporting the end
 
-    private void reportResult(int status) {
+    private void reportResult() {
         reportEnd(
                 "result",
-                onReply -> reports.finish(id, status, savedBytes, output.toByteArray(), onReply),
+                onReply -> reports.finish(id, result, savedBytes, output.toByteArray(), onReply),
                 0);
     }
 
--- a/launcher/src/test/java/martenloom/launcher/DeferredJobsTest.java
+++ b/launcher/src/test/java/martenloom/launcher/DeferredJobsTest.java
@@ -1,9 +1,11 @@
 package martenloom.launcher;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Path;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import martenloom.launcher.harness.EventStream;
 import martenloom.launcher.harness.HttpReply;
@@ -26,6 +28,7 @@
     private static final int DUE_MS = 60_000;
     private static final int LATE_DUE_MS = 90_000;
     private static final int SOON_DUE_MS = 1_500;
+    private static final int IMAGE_BYTES = 40_000;
     private static final int TOO_LARGE_BYTES = 300_000;
 
     @TempDir private Path dir;
@@ -123,6 +126,26 @@
         assertTrue(cluster.control().get(0, "/jobs").body().contains("\"Id\":\"j1\""));
     }
 
+    /** Guards against an image that arrives with other bytes than its replica sent. */
+    @Test
+    void aResultHasTheBytesAndTheMediaTypeOfItsResponse() {
+        var image = new byte[IMAGE_BYTES];
+        new Random(1).nextBytes(image);
+        cluster.replica("i-a").respondWithImage(image);
+        assertEquals(200, submit(0, "image", job("/safe/x", DUE_MS, "p")));
+        assertDone(0, "image");
+        for (var core = 0; core < CORES; core++) {
+            var reply = result(core, "image");
+            assertArrayEquals(image, reply.content());
+            assertEquals("image/png", reply.field("Content-Type"));
+        }
+        killCores();
+        startCores();
+        assertDone(1, "image");
+        assertArrayEquals(image, result(1, "image").content());
+        assertEquals("image/png", result(1, "image").field("Content-Type"));
+    }
+
     @Test
     void whatCannotBeKeptIsRejectedWithTheReason() {
         assertEquals(404, submit(0, "n1", job("/none/x", DUE_MS, "p")));
--- a/launcher/src/test/java/martenloom/launcher/harness/ReplicaConnection.java
+++ b/launcher/src/test/java/martenloom/launcher/harness/ReplicaConnection.java
@@ -156,6 +156,9 @@
         if (request.isStream()) {
             return stream(request);
         }
+        if (replica.image().isPresent()) {
+            return respondWithImage(request, replica.image().get());
+        }
         var text = replica.responseText(request.attempt());
         if (replica.fault() == ReplicaFault.UNFRAMED) {
             return respondUnframed(head("200 OK", request), text);
@@ -169,6 +172,17 @@
         return true;
     }
 
+    private boolean respondWithImage(ReplicaRequest request, byte[] image) throws IOException {
+        write(
+                head("200 OK", request)
+                        + "Content-Type: image/png\r\nContent-Length: "
+                        + image.length
+                        + "\r\n\r\n");
+        out.write(image);
+        out.flush();
+        return true;
+    }
+
     private String head(String status, ReplicaRequest request) {
         return "HTTP/1.1 "
                 + status
--- a/launcher/src/test/java/martenloom/launcher/harness/StandInReplica.java
+++ b/launcher/src/test/java/martenloom/launcher/harness/StandInReplica.java
@@ -6,6 +6,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -49,6 +50,7 @@
     private volatile ReplicaFault fault = ReplicaFault.NONE;
     private volatile int executionMs;
     private volatile int responseBytes;
+    private volatile Optional<byte[]> image = Optional.empty();
     private volatile Predicate<String> failing = attempt -> true;
     private volatile CountDownLatch resumed = new CountDownLatch(1);
 
@@ -121,6 +123,16 @@
         responseBytes = bytes;
     }
 
+    /** From now on responses that are no streams are this image. */
+    public void respondWithImage(byte[] png) {
+        image = Optional.of(png);
+    }
+
+    /** The image that it responds with, if it does. */
+    Optional<byte[]> image() {
+        return image;
+    }
+
     /** The body of its response to an attempt, other than a stream. */
     public String responseText(String attempt) {
         var text = "done by " + service + " for " + attempt;
--- a/launcher/src/test/java/martenloom/launcher/harness/TestHttpClient.java
+++ b/launcher/src/test/java/martenloom/launcher/harness/TestHttpClient.java
@@ -92,7 +92,7 @@
                                 in,
                                 body,
                                 Integer.parseInt(fields.getOrDefault("Content-Length", "0")));
-        return new HttpReply(status, fields, body.toString(StandardCharsets.UTF_8), complete);
+        return new HttpReply(status, fields, body.toByteArray(), complete);
     }
 
     /** Reads header fields up to the empty line; names compare in any case. */
