Contents of jobs stand apart from the state that each write copies

Cause: results were copied, encoded and synced with every write of the state, their room was not counted at the submission, and a state over 24 MiB could not be sent to a member.

Change: contents over 4 KiB are named by their digest (EncodedState), stored once as files (VersionedStore) and fetched one by one by a member that lacks them (ContentExchange). Room for a result is reserved when a job is accepted, 64 MiB in all.

--- a/common/src/main/java/martenloom/common/jobs/Job.java
+++ b/common/src/main/java/martenloom/common/jobs/Job.java
@@ -3,8 +3,6 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
-import martenloom.common.codec.RecordReader;
-import martenloom.common.codec.RecordWriter;
 
 /**
  * One deferred job, as the core keeps it and an edge runs it: its request, its {@link JobState},
@@ -27,7 +25,7 @@
     /** Header fields of the request, each as "name: value". */
     private List<String> headerFields = List.of();
 
-    private byte[] body = new byte[0];
+    private Content body = Content.EMPTY;
 
     /** A hash of the submission, by which a repeated submission is recognised. */
     private String digest = "";
@@ -52,12 +50,12 @@
     private String lastEventId = "";
 
     /** The part of the result that was saved while the attempt was running. */
-    private byte[] checkpoint = new byte[0];
+    private Content checkpoint = Content.EMPTY;
 
     /** The HTTP status of the result. */
     private int status;
 
-    private byte[] result = new byte[0];
+    private Content result = Content.EMPTY;
 
     /** The media type of the result; empty when it is not known. */
     private String mediaType = "";
@@ -119,11 +117,11 @@
     }
 
     public byte[] body() {
-        return body;
+        return body.bytes();
     }
 
-    public void setBody(byte[] body) {
-        this.body = body;
+    public void setBody(byte[] bytes) {
+        body = Content.of(bytes);
     }
 
     public String digest() {
@@ -199,11 +197,11 @@
     }
 
     public byte[] checkpoint() {
-        return checkpoint;
+        return checkpoint.bytes();
     }
 
-    public void setCheckpoint(byte[] checkpoint) {
-        this.checkpoint = checkpoint;
+    public void setCheckpoint(byte[] bytes) {
+        checkpoint = Content.of(bytes);
     }
 
     public int status() {
@@ -215,11 +213,11 @@
     }
 
     public byte[] result() {
-        return result;
+        return result.bytes();
     }
 
-    public void setResult(byte[] result) {
-        this.result = result;
+    public void setResult(byte[] bytes) {
+        result = Content.of(bytes);
     }
 
     public String mediaType() {
@@ -261,17 +259,17 @@
 
     /** What the job counts against the limit on memory for jobs. */
     public long sizeBytes() {
-        return (long) body.length
-                + checkpoint.length
-                + result.length
+        return (long) body.length()
+                + checkpoint.length()
+                + result.length()
                 + path.length()
                 + headerFields.stream().mapToInt(String::length).sum();
     }
 
     /** The checkpoint with more bytes after it. */
     public byte[] checkpointFollowedBy(byte[] more) {
-        var joined = Arrays.copyOf(checkpoint, checkpoint.length + more.length);
-        System.arraycopy(more, 0, joined, checkpoint.length, more.length);
+        var joined = Arrays.copyOf(checkpoint.bytes(), checkpoint.length() + more.length);
+        System.arraycopy(more, 0, joined, checkpoint.length(), more.length);
         return joined;
     }
 
@@ -284,12 +282,50 @@
                 .orElse("");
     }
 
-    /** A deep copy. */
+    /** One of its contents. */
+    public Content content(JobPart part) {
+        return switch (part) {
+            case BODY -> body;
+            case CHECKPOINT -> checkpoint;
+            case RESULT -> result;
+        };
+    }
+
+    /** Sets one of its contents. */
+    public void setContent(JobPart part, Content content) {
+        switch (part) {
+            case BODY -> body = content;
+            case CHECKPOINT -> checkpoint = content;
+            case RESULT -> result = content;
+        }
+    }
+
+    /** A copy that shares the contents, which never change. */
     public Job copy() {
-        var out = new RecordWriter();
-        JobCodec.write(this, out);
-        var copy = JobCodec.read(new RecordReader(out.bytes(), false));
-        copy.setMediaType(mediaType);
+        var copy = new Job();
+        copy.id = id;
+        copy.region = region;
+        copy.method = method;
+        copy.host = host;
+        copy.path = path;
+        copy.headerFields = headerFields;
+        copy.digest = digest;
+        copy.retriable = retriable;
+        copy.resumable = resumable;
+        copy.submittedUs = submittedUs;
+        copy.deadlineUs = deadlineUs;
+        copy.state = state;
+        copy.fencingToken = fencingToken;
+        copy.attempts = attempts;
+        copy.lastEventId = lastEventId;
+        copy.status = status;
+        copy.mediaType = mediaType;
+        copy.confirmed = confirmed;
+        copy.endedUs = endedUs;
+        copy.reason = reason;
+        for (var part : JobPart.values()) {
+            copy.setContent(part, content(part));
+        }
         return copy;
     }
 }
--- a/common/src/main/java/martenloom/common/jobs/JobCodec.java
+++ b/common/src/main/java/martenloom/common/jobs/JobCodec.java
@@ -9,13 +9,21 @@
 
     /** Writes a job. */
     public static void write(Job job, RecordWriter out) {
+        write(job, out, Integer.MAX_VALUE);
+    }
+
+    /**
+     * Writes a job in the same form with those of its contents empty that are larger than this,
+     * since they are kept apart.
+     */
+    public static void write(Job job, RecordWriter out, int largestContent) {
         out.text(job.id())
                 .text(job.region())
                 .text(job.method())
                 .text(job.host())
                 .text(job.path())
                 .texts(job.headerFields())
-                .blob(job.body())
+                .blob(part(job, JobPart.BODY, largestContent))
                 .text(job.digest())
                 .flag(job.retriable())
                 .flag(job.resumable());
@@ -25,12 +33,17 @@
                 .i64(job.fencingToken())
                 .i32(job.attempts())
                 .text(job.lastEventId())
-                .blob(job.checkpoint())
+                .blob(part(job, JobPart.CHECKPOINT, largestContent))
                 .i32(job.status())
-                .blob(job.result());
+                .blob(part(job, JobPart.RESULT, largestContent));
         out.flag(job.confirmed()).i64(job.endedUs()).text(job.reason());
     }
 
+    private static byte[] part(Job job, JobPart part, int largestContent) {
+        var content = job.content(part);
+        return content.length() > largestContent ? Content.EMPTY.bytes() : content.bytes();
+    }
+
     /** Reads what {@link #write} wrote. */
     public static Job read(RecordReader in) {
         var job = new Job();
--- a/core/src/main/java/martenloom/core/chain/AnnouncementMessage.java
+++ b/core/src/main/java/martenloom/core/chain/AnnouncementMessage.java
@@ -1,6 +1,7 @@
 package martenloom.core.chain;
 
 import java.util.List;
+import martenloom.core.state.EncodedState;
 
 /** The messages between the head of an active view and the members outside its chain. */
 sealed interface AnnouncementMessage extends ChainMessage {
@@ -25,5 +26,10 @@
     record SnapshotRequest(long edition) implements AnnouncementMessage {}
 
     /** The committed state, to be known but not accepted. */
-    record SnapshotResponse(byte[] state) implements AnnouncementMessage {}
+    record SnapshotResponse(EncodedState state) implements AnnouncementMessage, StateMessage {
+        @Override
+        public SnapshotResponse withState(EncodedState resolved) {
+            return new SnapshotResponse(resolved);
+        }
+    }
 }
--- a/core/src/main/java/martenloom/core/chain/BallotAcceptor.java
+++ b/core/src/main/java/martenloom/core/chain/BallotAcceptor.java
@@ -4,6 +4,7 @@
 import martenloom.core.chain.ElectionMessage.Prepare;
 import martenloom.core.chain.ElectionMessage.Promise;
 import martenloom.core.chain.ElectionMessage.PromiseRejected;
+import martenloom.core.state.EncodedState;
 
 /**
  * The acceptor's side of agreeing on a view: answers the requests of candidates for a promise.
@@ -14,18 +15,23 @@
 final class BallotAcceptor {
     private final MemberContext member;
     private final ReadBarrier barrier;
+    private final ContentExchange contents;
 
-    BallotAcceptor(MemberContext member, ReadBarrier barrier) {
+    BallotAcceptor(MemberContext member, ReadBarrier barrier, ContentExchange contents) {
         this.member = member;
         this.barrier = barrier;
+        this.contents = contents;
     }
 
-    /** Answers a candidate; the disk must be free. */
+    /**
+     * Answers a candidate; the disk must be free. A learner that still fetches contents does not
+     * offer itself, since the chain would wait for it.
+     */
     void onPrepare(String from, Prepare prepare) {
         var ballot = prepare.ballot();
         member.observeBallotNumber(ballot.number());
         if (member.is(MemberRole.LEARNER)) {
-            if (!member.departure().isLeaving()) {
+            if (!member.departure().isLeaving() && !contents.isFetching()) {
                 member.send(from, new LearnerOffer(ballot, member.incarnation()));
             }
             return;
@@ -60,7 +66,7 @@
                         member.departure().isLeaving(),
                         member.accepted(),
                         state.edition(),
-                        isNewer ? state.bytes() : ChainMessage.NO_STATE));
+                        isNewer ? EncodedState.of(state) : EncodedState.NONE));
     }
 
     /**
--- a/core/src/main/java/martenloom/core/chain/Candidacy.java
+++ b/core/src/main/java/martenloom/core/chain/Candidacy.java
@@ -111,8 +111,8 @@
             leaving.add(from);
         }
         var state =
-                promise.hasState()
-                        ? Optional.of(ClusterState.of(promise.state()))
+                promise.state().isPresent()
+                        ? Optional.of(promise.state().decode())
                         : Optional.<ClusterState>empty();
         votes.put(from, new Vote(promise.accepted(), promise.edition(), state));
     }
--- a/core/src/main/java/martenloom/core/chain/ChainMember.java
+++ b/core/src/main/java/martenloom/core/chain/ChainMember.java
@@ -31,9 +31,9 @@
  * docs/design.md for the argument.
  *
  * <p>The parts: {@link BallotAcceptor} and {@link ViewElection} agree on views, {@link Replication}
- * takes states down the chain, {@link ReadBarrier} proves that a head still is one, {@link
- * Membership} decides who belongs to chain and roster, and {@link RequestPipeline} decides
- * requests.
+ * takes states down the chain, {@link ContentExchange} fetches what these only name, {@link
+ * ReadBarrier} proves that a head still is one, {@link Membership} decides who belongs to chain and
+ * roster, and {@link RequestPipeline} decides requests.
  */
 public final class ChainMember {
     /** The highest type of a record of the chain; higher numbers belong to others. */
@@ -49,6 +49,7 @@
     private final Membership membership;
     private final ReadBarrier barrier;
     private final Replication replication;
+    private final ContentExchange contents;
     private final BallotAcceptor acceptor;
     private final ViewElection election;
     private final Heartbeats heartbeats;
@@ -73,10 +74,11 @@
         membership = new Membership(member);
         barrier = new ReadBarrier(member);
         replication = new Replication(member, this::onViewAccepted, this::onWriteAccepted);
-        acceptor = new BallotAcceptor(member, barrier);
+        contents = new ContentExchange(member, this::handle);
+        acceptor = new BallotAcceptor(member, barrier, contents);
         election = new ViewElection(member, membership, replication);
         heartbeats = new Heartbeats(member, barrier);
-        announcements = new ViewAnnouncements(member, barrier, membership);
+        announcements = new ViewAnnouncements(member, barrier, membership, contents);
         jobClock = new ReplicatedJobClock(nowUs);
         requests = new RequestPipeline(member, barrier, replication, jobClock);
     }
@@ -206,6 +208,7 @@
     /** Time passes; to be called several times in each heartbeat interval. */
     public void onTick(long nowUs) {
         member.advanceTo(nowUs);
+        contents.tick();
         switch (member.role()) {
             case HEAD -> tickHead();
             case CANDIDATE -> election.tickCandidate();
@@ -258,6 +261,16 @@
     }
 
     private void dispatch(String from, ChainMessage message) {
+        if (message instanceof StateMessage carrier) {
+            contents.deliver(from, carrier);
+        } else if (message instanceof ContentMessage content) {
+            contents.onMessage(from, content);
+        } else {
+            handle(from, message);
+        }
+    }
+
+    private void handle(String from, ChainMessage message) {
         if (message instanceof ElectionMessage.Prepare prepare) {
             member.disk().whenFree(() -> acceptor.onPrepare(from, prepare));
         } else if (message instanceof ElectionMessage answer) {
--- a/core/src/main/java/martenloom/core/chain/ChainMessage.java
+++ b/core/src/main/java/martenloom/core/chain/ChainMessage.java
@@ -5,8 +5,9 @@
  * reordered; {@link ChainMessageCodec} gives its form on the wire.
  */
 sealed interface ChainMessage
-        permits ElectionMessage, ReplicationMessage, HeartbeatMessage, AnnouncementMessage {
-
-    /** Stands in a message for a state that its receiver holds already. */
-    byte[] NO_STATE = {};
-}
+        permits ElectionMessage,
+                ReplicationMessage,
+                HeartbeatMessage,
+                AnnouncementMessage,
+                ContentMessage,
+                StateMessage {}
--- a/core/src/main/java/martenloom/core/chain/ChainMessageCodec.java
+++ b/core/src/main/java/martenloom/core/chain/ChainMessageCodec.java
@@ -8,6 +8,8 @@
 import martenloom.core.chain.AnnouncementMessage.SnapshotRequest;
 import martenloom.core.chain.AnnouncementMessage.SnapshotResponse;
 import martenloom.core.chain.AnnouncementMessage.ViewAnnouncement;
+import martenloom.core.chain.ContentMessage.ContentRequest;
+import martenloom.core.chain.ContentMessage.ContentResponse;
 import martenloom.core.chain.ElectionMessage.BallotRejected;
 import martenloom.core.chain.ElectionMessage.HeadHandover;
 import martenloom.core.chain.ElectionMessage.LearnerOffer;
@@ -20,6 +22,7 @@
 import martenloom.core.chain.ReplicationMessage.ReplicateState;
 import martenloom.core.chain.ReplicationMessage.ReplicationAck;
 import martenloom.core.state.CommandCodec;
+import martenloom.core.state.EncodedState;
 
 /**
  * The form of the chain's messages on the wire: a type byte, then the fields in order. The numbers
@@ -43,8 +46,16 @@
     private static final int APPEND_COMMAND = 12;
     private static final int HEAD_HANDOVER = 13;
 
+    /** The messages with a state that names contents; without any, the former forms are sent. */
+    private static final int REPLICATE_NAMING_STATE = 14;
+
+    private static final int PROMISE_NAMING_STATE = 15;
+    private static final int SNAPSHOT_NAMING_STATE = 16;
+    private static final int CONTENT_REQUEST = 17;
+    private static final int CONTENT_RESPONSE = 18;
+
     /** The highest type of a chain message. */
-    static final int HIGHEST_TYPE = HEAD_HANDOVER;
+    static final int HIGHEST_TYPE = CONTENT_RESPONSE;
 
     private static final int REJECTED = 0;
     private static final int PROMISED = 1;
@@ -62,6 +73,9 @@
         if (message instanceof AnnouncementMessage announcement) {
             return encode(announcement).bytes();
         }
+        if (message instanceof ContentMessage content) {
+            return encode(content).bytes();
+        }
         return encode((ElectionMessage) message).bytes();
     }
 
@@ -83,9 +97,15 @@
                     case VIEW_ANNOUNCEMENT -> readViewAnnouncement(in);
                     case JOIN_REQUEST -> new JoinRequest(in.i64());
                     case SNAPSHOT_REQUEST -> new SnapshotRequest(in.i64());
-                    case SNAPSHOT_RESPONSE -> new SnapshotResponse(in.blob());
+                    case SNAPSHOT_RESPONSE -> new SnapshotResponse(EncodedState.read(in));
                     case APPEND_COMMAND -> readAppendCommand(in);
-                    default -> new HeadHandover(Ballot.read(in));
+                    case HEAD_HANDOVER -> new HeadHandover(Ballot.read(in));
+                    case REPLICATE_NAMING_STATE -> withReferences(readReplicateState(in), in);
+                    case PROMISE_NAMING_STATE -> withReferences(readPromise(in), in);
+                    case SNAPSHOT_NAMING_STATE ->
+                            withReferences(new SnapshotResponse(EncodedState.read(in)), in);
+                    case CONTENT_REQUEST -> new ContentRequest(in.texts());
+                    default -> new ContentResponse(in.blob());
                 });
     }
 
@@ -100,10 +120,7 @@
             return out;
         }
         if (message instanceof Promise promise) {
-            var out = begin(PREPARE_RESPONSE, promise.ballot());
-            out.u8(PROMISED).flag(promise.leaving());
-            promise.accepted().write(out);
-            return out.i64(promise.edition()).blob(promise.state());
+            return encode(promise);
         }
         if (message instanceof PromiseRejected rejected) {
             return begin(PREPARE_RESPONSE, rejected.ballot())
@@ -128,17 +145,37 @@
         return switch (in.u8()) {
             case REJECTED -> new PromiseRejected(ballot, in.i64());
             case LEARNER -> new LearnerOffer(ballot, in.i64());
-            default -> new Promise(ballot, in.flag(), Ballot.read(in), in.i64(), in.blob());
+            default -> readPromise(ballot, in);
         };
     }
 
+    private static RecordWriter encode(Promise promise) {
+        var naming = promise.state().hasReferences();
+        var out = begin(naming ? PROMISE_NAMING_STATE : PREPARE_RESPONSE, promise.ballot());
+        if (!naming) {
+            out.u8(PROMISED);
+        }
+        out.flag(promise.leaving());
+        promise.accepted().write(out);
+        return writeState(promise, out.i64(promise.edition()));
+    }
+
+    private static Promise readPromise(RecordReader in) {
+        return readPromise(Ballot.read(in), in);
+    }
+
+    private static Promise readPromise(Ballot ballot, RecordReader in) {
+        return new Promise(ballot, in.flag(), Ballot.read(in), in.i64(), EncodedState.read(in));
+    }
+
     // ---- replication
 
     private static RecordWriter encode(ReplicationMessage message) {
         if (message instanceof ReplicateState replicate) {
-            var out = begin(REPLICATE_STATE, replicate.view());
+            var naming = replicate.state().hasReferences();
+            var out = begin(naming ? REPLICATE_NAMING_STATE : REPLICATE_STATE, replicate.view());
             replicate.basis().write(out);
-            return out.texts(replicate.holders()).i64(replicate.edition()).blob(replicate.state());
+            return writeState(replicate, out.texts(replicate.holders()).i64(replicate.edition()));
         }
         if (message instanceof AppendCommand append) {
             var out = begin(APPEND_COMMAND, append.view()).i64(append.edition());
@@ -150,7 +187,8 @@
     }
 
     private static ReplicateState readReplicateState(RecordReader in) {
-        return new ReplicateState(readView(in), Ballot.read(in), in.texts(), in.i64(), in.blob());
+        return new ReplicateState(
+                readView(in), Ballot.read(in), in.texts(), in.i64(), EncodedState.read(in));
     }
 
     private static AppendCommand readAppendCommand(RecordReader in) {
@@ -190,13 +228,38 @@
         if (message instanceof SnapshotRequest request) {
             return new RecordWriter(SNAPSHOT_REQUEST).i64(request.edition());
         }
-        return new RecordWriter(SNAPSHOT_RESPONSE).blob(((SnapshotResponse) message).state());
+        var snapshot = (SnapshotResponse) message;
+        var naming = snapshot.state().hasReferences();
+        return writeState(
+                snapshot, new RecordWriter(naming ? SNAPSHOT_NAMING_STATE : SNAPSHOT_RESPONSE));
     }
 
     private static ViewAnnouncement readViewAnnouncement(RecordReader in) {
         return new ViewAnnouncement(Ballot.read(in), in.texts(), in.i64(), in.i64());
     }
 
+    // ---- contents
+
+    private static RecordWriter encode(ContentMessage message) {
+        if (message instanceof ContentRequest request) {
+            return new RecordWriter(CONTENT_REQUEST).texts(request.digests());
+        }
+        return new RecordWriter(CONTENT_RESPONSE).blob(((ContentResponse) message).content());
+    }
+
+    /** Ends a record with the state of a message. */
+    private static RecordWriter writeState(StateMessage message, RecordWriter out) {
+        message.state().writeBytes(out);
+        if (message.state().hasReferences()) {
+            message.state().writeReferences(out);
+        }
+        return out;
+    }
+
+    private static StateMessage withReferences(StateMessage message, RecordReader in) {
+        return message.withState(message.state().withReferences(in));
+    }
+
     // ---- what several messages begin with
 
     private static RecordWriter begin(int type, Ballot ballot) {
--- a/core/src/main/java/martenloom/core/chain/ElectionMessage.java
+++ b/core/src/main/java/martenloom/core/chain/ElectionMessage.java
@@ -1,5 +1,7 @@
 package martenloom.core.chain;
 
+import martenloom.core.state.EncodedState;
+
 /** The messages by which a view is agreed: a candidate prepares, the others promise or reject. */
 sealed interface ElectionMessage extends ChainMessage {
     /**
@@ -21,10 +23,12 @@
      * @param edition the edition of that state
      * @param state the state itself, only where it is newer than the candidate's
      */
-    record Promise(Ballot ballot, boolean leaving, Ballot accepted, long edition, byte[] state)
-            implements ElectionMessage {
-        boolean hasState() {
-            return state.length > 0;
+    record Promise(
+            Ballot ballot, boolean leaving, Ballot accepted, long edition, EncodedState state)
+            implements ElectionMessage, StateMessage {
+        @Override
+        public Promise withState(EncodedState resolved) {
+            return new Promise(ballot, leaving, accepted, edition, resolved);
         }
     }
 
--- a/core/src/main/java/martenloom/core/chain/Replication.java
+++ b/core/src/main/java/martenloom/core/chain/Replication.java
@@ -7,6 +7,7 @@
 import martenloom.core.chain.ReplicationMessage.ReplicateState;
 import martenloom.core.chain.ReplicationMessage.ReplicationAck;
 import martenloom.core.state.ClusterState;
+import martenloom.core.state.EncodedState;
 import martenloom.core.state.StampedCommand;
 
 /**
@@ -108,7 +109,7 @@
     /** Sends this member's state to a position of the chain; without its bytes to a holder. */
     private void sendState(ChainView view, Ballot acceptedIn, List<String> heldBy, int position) {
         var to = view.chain().get(position);
-        var state = heldBy.contains(to) ? ChainMessage.NO_STATE : member.state().bytes();
+        var state = heldBy.contains(to) ? EncodedState.NONE : EncodedState.of(member.state());
         member.send(
                 to, new ReplicateState(view, acceptedIn, heldBy, member.state().edition(), state));
     }
@@ -201,8 +202,8 @@
 
     /** The state that is sent; empty when it is only named and this member has another. */
     private Optional<ClusterState> stateOf(ReplicateState replicate) {
-        if (replicate.hasState()) {
-            return Optional.of(ClusterState.of(replicate.state()));
+        if (replicate.state().isPresent()) {
+            return Optional.of(replicate.state().decode());
         }
         var acceptedIn = member.accepted();
         var isHeld =
--- a/core/src/main/java/martenloom/core/chain/ReplicationMessage.java
+++ b/core/src/main/java/martenloom/core/chain/ReplicationMessage.java
@@ -1,6 +1,7 @@
 package martenloom.core.chain;
 
 import java.util.List;
+import martenloom.core.state.EncodedState;
 import martenloom.core.state.StampedCommand;
 
 /** The messages that take a state down the chain, and their acknowledgement back up. */
@@ -14,10 +15,11 @@
      * @param edition the edition of the state
      */
     record ReplicateState(
-            ChainView view, Ballot basis, List<String> holders, long edition, byte[] state)
-            implements ReplicationMessage {
-        boolean hasState() {
-            return state.length > 0;
+            ChainView view, Ballot basis, List<String> holders, long edition, EncodedState state)
+            implements ReplicationMessage, StateMessage {
+        @Override
+        public ReplicateState withState(EncodedState resolved) {
+            return new ReplicateState(view, basis, holders, edition, resolved);
         }
     }
 
--- a/core/src/main/java/martenloom/core/chain/ViewAnnouncements.java
+++ b/core/src/main/java/martenloom/core/chain/ViewAnnouncements.java
@@ -7,7 +7,7 @@
 import martenloom.core.chain.AnnouncementMessage.SnapshotRequest;
 import martenloom.core.chain.AnnouncementMessage.SnapshotResponse;
 import martenloom.core.chain.AnnouncementMessage.ViewAnnouncement;
-import martenloom.core.state.ClusterState;
+import martenloom.core.state.EncodedState;
 
 /**
  * What a head announces to the members outside its chain, and what they do with it: they ask to
@@ -21,6 +21,7 @@
     private final MemberContext member;
     private final ReadBarrier barrier;
     private final Membership membership;
+    private final ContentExchange contents;
 
     /** The members that the owner has links to. */
     private List<String> known = List.of();
@@ -28,10 +29,15 @@
     private long sentUs;
     private long snapshotRequestedUs;
 
-    ViewAnnouncements(MemberContext member, ReadBarrier barrier, Membership membership) {
+    ViewAnnouncements(
+            MemberContext member,
+            ReadBarrier barrier,
+            Membership membership,
+            ContentExchange contents) {
         this.member = member;
         this.barrier = barrier;
         this.membership = membership;
+        this.contents = contents;
         snapshotRequestedUs = member.nowUs() - SNAPSHOT_INTERVAL_US;
     }
 
@@ -67,7 +73,7 @@
         } else if (message instanceof SnapshotRequest request) {
             onSnapshotRequest(from, request);
         } else if (message instanceof SnapshotResponse response) {
-            member.committed().install(ClusterState.of(response.state()));
+            member.committed().install(response.state().decode());
         }
     }
 
@@ -99,7 +105,7 @@
     }
 
     private void requestToJoin(String head, long promisedNumber) {
-        if (!member.departure().isLeaving()) {
+        if (!member.departure().isLeaving() && !contents.isFetching()) {
             member.send(head, new JoinRequest(promisedNumber));
         }
     }
@@ -113,7 +119,7 @@
 
     private void onSnapshotRequest(String from, SnapshotRequest request) {
         if (member.committed().edition() > request.edition()) {
-            member.send(from, new SnapshotResponse(member.committed().state().bytes()));
+            member.send(from, new SnapshotResponse(EncodedState.of(member.committed().state())));
         }
     }
 }
--- a/core/src/main/java/martenloom/core/driver/ChainDriver.java
+++ b/core/src/main/java/martenloom/core/driver/ChainDriver.java
@@ -15,7 +15,6 @@
 import martenloom.core.state.ClusterState;
 import martenloom.core.state.ResultCode;
 import martenloom.core.state.StampedCommand;
-import martenloom.core.storage.VersionedStore;
 
 /**
  * Drives the chain member of this daemon: hands it time, records and commands, and carries out what
@@ -24,7 +23,7 @@
 public final class ChainDriver implements CommandSubmitter {
     private final Eventloop loop;
     private final ChainMember chain;
-    private final VersionedStore store;
+    private final MemberStateStore store;
     private final CorePeerLinks peers;
     private final Consumer<ClusterState> onCommitted;
 
@@ -41,7 +40,7 @@
     public ChainDriver(
             Eventloop loop,
             ChainMember chain,
-            VersionedStore store,
+            MemberStateStore store,
             CorePeerLinks peers,
             Consumer<ClusterState> onCommitted) {
         this.loop = loop;
@@ -104,7 +103,7 @@
     private void store(ChainEffect.PersistState write) {
         loop.startExternalTask();
         store.writeAsync(
-                () -> write.memberState().encode(),
+                write.memberState(),
                 () -> {
                     loop.execute(() -> onStored(write.token()));
                     loop.completeExternalTask();
--- a/core/src/main/java/martenloom/core/driver/ChainMemberFactory.java
+++ b/core/src/main/java/martenloom/core/driver/ChainMemberFactory.java
@@ -30,13 +30,14 @@
     /**
      * The member with what its disk holds, or with the state of a founder.
      *
-     * @param onDisk the version that the store was loaded with
+     * @param onDisk what was found there
+     * @param states takes the state of a founder
      */
-    public ChainMember create(Optional<byte[]> onDisk) {
-        var memberState = onDisk.map(PersistentMemberState::decode);
+    public ChainMember create(Optional<PersistentMemberState> onDisk, MemberStateStore states) {
+        var memberState = onDisk;
         if (memberState.isEmpty() && mayFound()) {
             memberState = Optional.of(founded());
-            store.write(memberState.get().encode());
+            states.write(memberState.get());
         }
         RingLog.debug(
                 "core "
--- a/core/src/main/java/martenloom/core/state/ClusterState.java
+++ b/core/src/main/java/martenloom/core/state/ClusterState.java
@@ -120,13 +120,18 @@
 
     // ---- encoding
 
-    /** The encoded state; {@link #of} decodes it. */
+    /** The encoded state, complete; {@link #of} decodes it. */
     public byte[] bytes() {
+        return bytes(Integer.MAX_VALUE);
+    }
+
+    /** The encoded state with the contents of jobs empty that are larger than this. */
+    byte[] bytes(int largestContent) {
         var out = new RecordWriter().i64(edition).texts(roster.members());
         configuration.write(out);
         out.texts(evacuations.zones());
         leases.write(out);
-        jobs.write(out);
+        jobs.write(out, largestContent);
         scaling.writeTargets(out);
         writeVersions(out);
         out.texts(roster.departed());
--- a/core/src/main/java/martenloom/core/state/JobClientRules.java
+++ b/core/src/main/java/martenloom/core/state/JobClientRules.java
@@ -47,14 +47,15 @@
                             + JobTable.MAX_JOBS
                             + " jobs, its limit; confirm results or come back later");
         }
-        var tableBytes = table.bytes();
-        if (tableBytes + bytes > JobTable.MAX_TABLE_BYTES) {
+        var reservedBytes = table.reservedBytes();
+        if (reservedBytes + JobTable.reservedBytes(job) > JobTable.MAX_TABLE_BYTES) {
             return CommandResult.refused(
                     ResultCode.LIMIT_REACHED,
-                    "the core keeps "
-                            + tableBytes
-                            + " bytes of jobs, near its limit of "
-                            + JobTable.MAX_TABLE_BYTES);
+                    "the core keeps room for "
+                            + reservedBytes
+                            + " bytes of jobs and their results, near its limit of "
+                            + JobTable.MAX_TABLE_BYTES
+                            + "; confirm results or come back later");
         }
         var nowUs = table.clockAt(atUs);
         job.setSubmittedUs(nowUs);
--- a/core/src/main/java/martenloom/core/state/JobRunnerRules.java
+++ b/core/src/main/java/martenloom/core/state/JobRunnerRules.java
@@ -24,9 +24,6 @@
     /** A job that failed or may have run is not run more often than this. */
     private static final int MAX_RUNS = 8;
 
-    /** So large a job may grow by its output. */
-    private static final int MAX_JOB_AND_OUTPUT_BYTES = 2 * JobTable.MAX_JOB_BYTES;
-
     private final JobTable table;
     private final long atUs;
 
@@ -130,7 +127,10 @@
 
     /** The job with its longer output, or the job before it failed if that is too long. */
     private CommandResult<JobTable> withOutput(Job longer, Job before) {
-        return longer.sizeBytes() > MAX_JOB_AND_OUTPUT_BYTES
+        var beyondBytes = JobTable.reservedBytes(longer) - JobTable.reservedBytes(before);
+        var findsRoom =
+                beyondBytes <= 0 || table.reservedBytes() + beyondBytes <= JobTable.MAX_TABLE_BYTES;
+        return longer.sizeBytes() > JobTable.MAX_JOB_AND_OUTPUT_BYTES || !findsRoom
                 ? end(before, JobState.FAILED, "the result is over the limit")
                 : table.with(longer, atUs, "");
     }
--- a/core/src/main/java/martenloom/core/state/JobTable.java
+++ b/core/src/main/java/martenloom/core/state/JobTable.java
@@ -1,12 +1,17 @@
 package martenloom.core.state;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import martenloom.common.codec.RecordReader;
 import martenloom.common.codec.RecordWriter;
+import martenloom.common.error.MalformedRecordException;
+import martenloom.common.jobs.Content;
 import martenloom.common.jobs.Job;
 import martenloom.common.jobs.JobCodec;
+import martenloom.common.jobs.JobPart;
 import martenloom.common.jobs.JobState;
 import martenloom.core.state.Command.AdvanceJobClock;
 import martenloom.core.state.Command.JobCommand;
@@ -36,8 +41,14 @@
     /** The largest job that is taken. */
     static final int MAX_JOB_BYTES = 256 << 10;
 
-    /** The most bytes of all jobs together when one is submitted. */
-    static final int MAX_TABLE_BYTES = 4 << 20;
+    /** For so large a result there is room from the submission on. */
+    static final int RESERVED_RESULT_BYTES = 256 << 10;
+
+    /** So large a job may grow by its output while the room for others is left. */
+    static final int MAX_JOB_AND_OUTPUT_BYTES = 2 * MAX_JOB_BYTES;
+
+    /** The most bytes of all jobs together, with the room that is reserved for results. */
+    static final int MAX_TABLE_BYTES = 64 << 20;
 
     /** So long after its end a job is kept. */
     static final long RETENTION_US = 3_600_000_000L;
@@ -48,8 +59,10 @@
     /** No jobs, at the beginning of their clock. */
     static final JobTable EMPTY = new JobTable(0, Map.of());
 
-    void write(RecordWriter out) {
-        out.i64(clockUs).list(byId.values(), (writer, job) -> JobCodec.write(job, writer));
+    /** Writes the jobs, with their contents empty that are larger than this. */
+    void write(RecordWriter out, int largestContent) {
+        out.i64(clockUs)
+                .list(byId.values(), (row, job) -> JobCodec.write(job, row, largestContent));
     }
 
     static JobTable read(RecordReader in) {
@@ -86,17 +99,56 @@
         }
     }
 
+    // ---- contents that are kept apart
+
+    /** Names the contents that are too large to stand in the bytes of a state. */
+    public List<ContentReference> references() {
+        var references = new ArrayList<ContentReference>();
+        for (var job : byId.values()) {
+            for (var part : JobPart.values()) {
+                var content = job.content(part);
+                if (content.length() > EncodedState.MAX_INLINE_BYTES) {
+                    references.add(new ContentReference(job.id(), part, content.digest()));
+                }
+            }
+        }
+        return references;
+    }
+
+    /** A content of one of the jobs. */
+    public Content content(ContentReference reference) {
+        return byId.get(reference.jobId()).content(reference.part());
+    }
+
+    /** Puts a content back into a job that was read without it just now. */
+    void restore(ContentReference reference, Content content) {
+        var job = byId.get(reference.jobId());
+        if (job == null) {
+            throw new MalformedRecordException("read state", "no job " + reference.jobId());
+        }
+        job.setContent(reference.part(), content);
+    }
+
     /** How many jobs wait or run. */
     public long live() {
         return byId.values().stream().filter(job -> job.state().isLive()).count();
     }
 
-    /** The size of all jobs. */
-    long bytes() {
-        return byId.values().stream().mapToLong(Job::sizeBytes).sum();
+    /** The size of all jobs, with the room that is reserved for the results of live ones. */
+    long reservedBytes() {
+        return byId.values().stream().mapToLong(JobTable::reservedBytes).sum();
+    }
+
+    /** The size of a job, with the room for its result if it is live. */
+    static long reservedBytes(Job job) {
+        var bytes = job.sizeBytes();
+        return job.state().isLive()
+                ? Math.max(bytes, bytes - job.checkpoint().length + RESERVED_RESULT_BYTES)
+                : bytes;
     }
 
-    Optional<Job> find(String id) {
+    /** The job of this id. */
+    public Optional<Job> find(String id) {
         return Optional.ofNullable(byId.get(id));
     }
 
--- a/core/src/main/java/martenloom/core/storage/VersionedStore.java
+++ b/core/src/main/java/martenloom/core/storage/VersionedStore.java
@@ -1,10 +1,16 @@
 package martenloom.core.storage;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
+import java.util.stream.Collectors;
 import martenloom.common.error.StorageException;
+import martenloom.common.jobs.Content;
 import martenloom.common.log.RingLog;
 
 /**
@@ -22,6 +28,11 @@
  * it. Then nothing is taken from the disk, older versions included, and the member comes back as
  * one that lost its disk. The same holds for a staging file that is more than one version ahead of
  * the newest final file: the version between them was written, and is gone.
+ *
+ * <p>Contents that a version names are files of their own, named by their digests. Those that are
+ * new are written and synced, and the folder is synced, before the version that names them is
+ * written; those that no version names any more are removed after it. So the contents that the
+ * newest version names are there and complete; if they are not, the disk is damaged as well.
  */
 public final class VersionedStore {
     private static final long MAX_DOWNTIME_MS = 600_000;
@@ -33,6 +44,9 @@
     /** The newest version that was written or found; 0 before the first. Guarded by this. */
     private long version;
 
+    /** The digests of the contents that are durable. Guarded by this. */
+    private final Set<String> storedContents = new HashSet<>();
+
     /** The time of day at which the version that was loaded was written; 0 when none was. */
     private long loadedWrittenAtMs;
 
@@ -71,10 +85,30 @@
             version = newest;
             loadedWrittenAtMs = found.get().writtenAtMs();
         }
-        removeAllBut(newest);
+        removeOldVersions(newest);
         return found.map(FileFrame::payload);
     }
 
+    /** A content that the loaded version names; empty when it is missing or not complete. */
+    public synchronized Optional<Content> content(String digest) {
+        var name = FileNames.ofContent(digest);
+        if (!folder.names().contains(name)) {
+            return Optional.empty();
+        }
+        var content = Content.of(folder.read(name));
+        if (!content.digest().equals(digest)) {
+            return Optional.empty();
+        }
+        storedContents.add(digest);
+        return Optional.of(content);
+    }
+
+    /** To be called when a content that the loaded version names is not there. */
+    public synchronized void onContentMissing() {
+        RingLog.error("store: version " + version + " names a content that is missing");
+        damaged = true;
+    }
+
     private static long newest(List<String> names, ToLongFunction<String> versionOf) {
         return names.stream().mapToLong(versionOf).max().orElse(FileNames.NO_VERSION);
     }
@@ -105,13 +139,21 @@
      * file of the next version stays and will be overwritten: a name that is removed and created
      * again without a sync in between could come back with its old content.
      */
-    private void removeAllBut(long kept) {
+    private void removeOldVersions(long kept) {
+        remove(name -> isOtherVersion(name, kept));
+    }
+
+    private void removeUnnamedContents(Set<String> named) {
+        storedContents.retainAll(named);
+        var kept = named.stream().map(FileNames::ofContent).collect(Collectors.toSet());
+        remove(name -> FileNames.isContent(name) && !kept.contains(name));
+    }
+
+    private void remove(Predicate<String> unneeded) {
         try {
-            folder.names().stream()
-                    .filter(name -> isOtherVersion(name, kept))
-                    .forEach(folder::remove);
+            folder.names().stream().filter(unneeded).forEach(folder::remove);
         } catch (StorageException e) {
-            RingLog.debug("store: an old version is not removed: " + e.getMessage());
+            RingLog.debug("store: an old file is not removed: " + e.getMessage());
         }
     }
 
@@ -122,11 +164,31 @@
     }
 
     /** Writes the next version, on the caller's thread; it is durable when the call returns. */
-    public synchronized void write(byte[] state) {
+    public void write(byte[] state) {
+        write(StoredVersion.of(state));
+    }
+
+    /** Writes the next version, on the caller's thread; it is durable when the call returns. */
+    public synchronized void write(StoredVersion state) {
         var next = version + 1;
-        replaceDurably(FileNames.ofVersion(next), state);
+        writeNewContents(state.contents());
+        replaceDurably(FileNames.ofVersion(next), state.bytes());
         version = next;
-        removeAllBut(next);
+        removeOldVersions(next);
+        removeUnnamedContents(state.contents().keySet());
+    }
+
+    private void writeNewContents(Map<String, Content> contents) {
+        var added = new HashSet<>(contents.keySet());
+        added.removeAll(storedContents);
+        if (!added.isEmpty()) {
+            added.forEach(
+                    digest ->
+                            folder.writeSynced(
+                                    FileNames.ofContent(digest), contents.get(digest).bytes()));
+            folder.syncFolder();
+            storedContents.addAll(added);
+        }
     }
 
     /**
@@ -135,7 +197,7 @@
      * @param state gives the content, on the store's thread
      * @param done is called on the store's thread when the version is durable
      */
-    public void writeAsync(Supplier<byte[]> state, Runnable done) {
+    public void writeAsync(Supplier<StoredVersion> state, Runnable done) {
         thread.executeUntilWritten(
                 () -> {
                     write(state.get());
--- a/core/src/test/java/martenloom/core/chain/ChainSimulation.java
+++ b/core/src/test/java/martenloom/core/chain/ChainSimulation.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.Base64;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.Comparator;
@@ -15,9 +16,13 @@
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
+import martenloom.common.codec.RecordWriter;
+import martenloom.common.jobs.Job;
+import martenloom.common.jobs.JobCodec;
 import martenloom.core.state.ClusterState;
 import martenloom.core.state.Command.MarkDeparting;
 import martenloom.core.state.Command.ReplaceConfiguration;
+import martenloom.core.state.Command.SubmitJob;
 import martenloom.core.state.Command.Urgency;
 import martenloom.core.state.ResultCode;
 import martenloom.core.state.StampedCommand;
@@ -44,6 +49,7 @@
     private static final int MIN_DOWNTIME_US = 300_000;
     private static final int DOWNTIME_SPREAD_US = 2_000_000;
 
+    private static final long JOB_RETRY_US = 1_000_000;
     private static final long LEAVE_REQUEST_INTERVAL_US = 200_000;
     private static final long LEAVE_URGENT_AFTER_US = 3_600_000;
     private static final long GRACE_PERIOD_US = 7_000_000;
@@ -287,6 +293,40 @@
         submit(head, ++lastRequest, StampedCommand.of(new ReplaceConfiguration(base, json)));
     }
 
+    /** Submits a job whose request has a body of this size, to a head if there is one. */
+    void submitJob(String id, int bodyBytes) {
+        if (heads().isEmpty()) {
+            return;
+        }
+        var body = new byte[bodyBytes];
+        new Random(id.hashCode()).nextBytes(body);
+        var job = new Job();
+        job.setId(id);
+        job.setRegion("north");
+        job.setBody(body);
+        job.setDigest(id);
+        job.setDeadlineUs(Long.MAX_VALUE / 2);
+        var out = new RecordWriter();
+        JobCodec.write(job, out);
+        var command = new SubmitJob(id, Base64.getEncoder().encodeToString(out.bytes()));
+        submit(heads().get(0), ++lastRequest, StampedCommand.of(command).stampedAt(nowUs));
+    }
+
+    /** Submits a job until some head knows it as kept. */
+    void keepJob(String id, int bodyBytes, long withinUs) {
+        var sinceUs = nowUs;
+        runUntil(
+                "kept",
+                withinUs,
+                () -> {
+                    if ((nowUs - sinceUs) % JOB_RETRY_US == 0) {
+                        submitJob(id, bodyBytes);
+                    }
+                    return heads().stream()
+                            .anyMatch(head -> head.chain().committed().jobs().find(id).isPresent());
+                });
+    }
+
     private void submit(SimulatedMember head, long request, StampedCommand command) {
         requests.put(request, command);
         head.chain().submit(nowUs, request, command);
--- a/core/src/test/java/martenloom/core/chain/LossyNetwork.java
+++ b/core/src/test/java/martenloom/core/chain/LossyNetwork.java
@@ -29,6 +29,7 @@
     private final Set<Link> cutLinks = new HashSet<>();
     private double lossProbability;
     private int sent;
+    private int largestRecord;
 
     LossyNetwork(Random random) {
         this.random = random;
@@ -38,12 +39,18 @@
         if (random.nextDouble() < lossProbability || isCut(from, to)) {
             return;
         }
+        largestRecord = Math.max(largestRecord, record.length);
         var spreadUs =
                 random.nextInt(ONE_LONG_DELAY_IN) == 0 ? LONG_DELAY_SPREAD_US : DELAY_SPREAD_US;
         var atUs = nowUs + MIN_DELAY_US + random.nextInt(spreadUs);
         inTransit.add(new Delivery(atUs, sent++, from, to, record));
     }
 
+    /** The size of the largest message that was sent. */
+    int largestRecord() {
+        return largestRecord;
+    }
+
     /** Takes the next message that is due; what arrives over a link cut meanwhile is lost. */
     Optional<Delivery> nextDue(long nowUs) {
         while (!inTransit.isEmpty() && inTransit.peek().atUs <= nowUs) {
--- a/launcher/src/test/java/martenloom/launcher/DeferredJobsTest.java
+++ b/launcher/src/test/java/martenloom/launcher/DeferredJobsTest.java
@@ -12,6 +12,7 @@
 import martenloom.launcher.harness.ReplicaFault;
 import martenloom.launcher.harness.ShellAnswers;
 import martenloom.launcher.harness.TestCluster;
+import martenloom.launcher.harness.TestConfiguration;
 import org.junit.jupiter.api.AutoClose;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -28,6 +29,9 @@
     private static final int DUE_MS = 60_000;
     private static final int LATE_DUE_MS = 90_000;
     private static final int SOON_DUE_MS = 1_500;
+    private static final int LARGE_RESULT_BYTES = 250_000;
+    private static final int BACKLOG = 60;
+    private static final int USUAL_REVISION = 3;
     private static final int IMAGE_BYTES = 40_000;
     private static final int TOO_LARGE_BYTES = 300_000;
 
@@ -146,6 +150,32 @@
         assertEquals("image/png", result(1, "image").field("Content-Type"));
     }
 
+    /** Guards against results that silence the core, and a member that cannot be taught them. */
+    @Test
+    void aBacklogOfLargeResultsIsKeptAndTaughtToAMemberThatLostItsDisk() {
+        cluster.replica("i-a").responseBytes(LARGE_RESULT_BYTES);
+        for (var i = 0; i < BACKLOG; i++) {
+            assertEquals(200, submit(i % CORES, "b" + i, job("/safe/x", LATE_DUE_MS, "p")));
+        }
+        for (var i = 0; i < BACKLOG; i++) {
+            assertDone(0, "b" + i);
+        }
+        cluster.kill(cluster.core(2));
+        cluster.wipeDisk(2);
+        cluster.startCore(2);
+        cluster.awaitView(0, 1, 2);
+        assertEquals(
+                200,
+                cluster.control().replaceConfiguration(USUAL_REVISION, TestConfiguration.of(4)));
+        cluster.kill(cluster.core(0));
+        for (var i = 0; i < BACKLOG; i++) {
+            assertDone(2, "b" + i);
+            var reply = result(2, "b" + i);
+            assertEquals(200, reply.status());
+            assertEquals(LARGE_RESULT_BYTES, reply.content().length);
+        }
+    }
+
     @Test
     void whatCannotBeKeptIsRejectedWithTheReason() {
         assertEquals(404, submit(0, "n1", job("/none/x", DUE_MS, "p")));
--- a/simulation/src/main/java/martenloom/simulation/cluster/SimulatedMember.java
+++ b/simulation/src/main/java/martenloom/simulation/cluster/SimulatedMember.java
@@ -12,6 +12,7 @@
 import martenloom.core.chain.ChainEffect;
 import martenloom.core.chain.ChainMember;
 import martenloom.core.chain.PersistentMemberState;
+import martenloom.core.driver.MemberStateStore;
 import martenloom.core.lease.RoleLeaseService;
 import martenloom.core.state.ClusterState;
 import martenloom.core.state.Command;
@@ -55,12 +56,12 @@
         startedUs = nowUs();
         var random = environment.random();
         process = new SimulatedProcess(environment.events(), random, this::carryOutEffects);
-        var store = new VersionedStore(machine.disk());
+        var store = new MemberStateStore(new VersionedStore(machine.disk()));
         var seeds = environment.seedAddresses();
-        var persisted = store.load().map(PersistentMemberState::decode);
+        var persisted = store.load();
         if (persisted.isEmpty() && bootstrap && seeds.contains(address)) {
             persisted = Optional.of(foundingState(seeds));
-            store.write(persisted.get().encode());
+            store.write(persisted.get());
         }
         chain =
                 new ChainMember(
