Requests of a route are spread by a count of its own, in steps without common factors

Change: ServiceTickets counts by route, in steps of about 0.618 of the sum that have no factor in common with it: each ticket comes up once a round.

Tests: ServiceTicketsTest (sums 61, 122, 183 and others, routes by turns); the former count gives one ticket of 61 and 50 of 100 there by arithmetic, which was not run against it.

--- a/edge/src/main/java/martenloom/edge/dispatch/RequestAdmission.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/RequestAdmission.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import java.util.Optional;
+import java.util.Random;
 import martenloom.common.clock.Clocks;
 import martenloom.edge.http.ErrorResponse;
 import martenloom.edge.http.HttpStatus;
@@ -14,7 +15,6 @@
  */
 final class RequestAdmission {
     /** Services of a route are drawn by its weights in steps of this prime. */
-    private static final int SERVICE_STEP = 61;
 
     /** A request with less time left than this is rejected when it comes. */
     private static final long LEAST_LEFT_US = 1000;
@@ -30,7 +30,7 @@
 
     private final ClusterView cluster;
     private final ShutdownAdmissionPolicy shutdownPolicy;
-    private final RoundRobinCounter roundRobin;
+    private final ServiceTickets tickets = new ServiceTickets(new Random());
     private final RequestCompletion completion;
     private final AttemptStarter starter;
     private final LatencyPredictor predictor;
@@ -39,13 +39,11 @@
     RequestAdmission(
             ClusterView cluster,
             ShutdownAdmissionPolicy shutdownPolicy,
-            RoundRobinCounter roundRobin,
             RequestCompletion completion,
             AttemptStarter starter,
             LatencyPredictor predictor) {
         this.cluster = cluster;
         this.shutdownPolicy = shutdownPolicy;
-        this.roundRobin = roundRobin;
         this.completion = completion;
         this.starter = starter;
         this.predictor = predictor;
@@ -63,7 +61,7 @@
             return Optional.empty();
         }
         var route = found.get();
-        var service = route.pickService(roundRobin.next(SERVICE_STEP));
+        var service = route.pickService(tickets.next(route));
         var sink = shutdownPolicy.sinkFor(client, route, nowUs);
         var request = new Request(head, body, route, service, sink, nowUs);
         request.countClientTimeFrom(client.requestBeganUs());
@@ -99,7 +97,7 @@
                                         head,
                                         body,
                                         route,
-                                        route.pickService(roundRobin.next(SERVICE_STEP)),
+                                        route.pickService(tickets.next(route)),
                                         sink,
                                         nowUs));
     }
--- a/edge/src/main/java/martenloom/edge/dispatch/RequestDispatcher.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/RequestDispatcher.java
@@ -61,12 +61,7 @@
         completion = new RequestCompletion(loop, counters, overloadReports, roundRobin);
         admission =
                 new RequestAdmission(
-                        cluster,
-                        shutdownPolicy,
-                        roundRobin,
-                        completion,
-                        starter,
-                        replicaTable.predictor());
+                        cluster, shutdownPolicy, completion, starter, replicaTable.predictor());
         scheduler =
                 new RequestScheduler(
                         loop,
--- a/routing/src/main/java/martenloom/routing/route/Route.java
+++ b/routing/src/main/java/martenloom/routing/route/Route.java
@@ -124,16 +124,22 @@
         return allowedRegions.isEmpty() || allowedRegions.contains(region);
     }
 
+    /** The weights of all services together. */
+    public int weightSum() {
+        var sum = 0;
+        for (var share : trafficSplit) {
+            sum += share.weight();
+        }
+        return sum;
+    }
+
     /**
      * Picks a service by weight.
      *
      * @param ticket any number; the caller spreads its numbers evenly
      */
     public String pickService(int ticket) {
-        var sum = 0;
-        for (var share : trafficSplit) {
-            sum += share.weight();
-        }
+        var sum = weightSum();
         var left = sum < 1 ? 0 : Math.floorMod(ticket, sum);
         for (var share : trafficSplit) {
             left -= share.weight();
