A job that may run once outlasts a core without a head

Cause: the edge abandoned all runs when its lease ran out, and dropped the end of a run that came while it was not held.

Change: what may run only once goes on, since nobody else may run it, and its end is reported when the same lease is held again; another grant still abandons it, and the core refuses reports of former holders as before. What may be repeated is abandoned as before.

--- a/edge/src/main/java/martenloom/edge/jobs/JobRun.java
+++ b/edge/src/main/java/martenloom/edge/jobs/JobRun.java
@@ -89,6 +89,11 @@
         request = started;
     }
 
+    /** Whether another run may follow one of unknown outcome. */
+    boolean mayBeRepeated() {
+        return job.retriable();
+    }
+
     boolean isOver() {
         return over;
     }
@@ -197,13 +202,17 @@
         reportEnd(failure.name(), onReply -> reports.giveBack(id, failure, reason, onReply), 0);
     }
 
-    /** Reports the end until the core has a reply or the lease is lost. */
+    /** Reports the end until the core has a reply or another lease was granted. */
     private void reportEnd(String kind, EndReport report, int attempts) {
         over = true;
-        if (!lease.isHeldWith(id.fencingToken())) {
+        if (lease.fencingToken() != id.fencingToken()) {
             owner.onEnded(this);
             return;
         }
+        if (!lease.isHeld()) {
+            scheduler.after(REPEAT_US, () -> reportEnd(kind, report, attempts));
+            return;
+        }
         if (saving && attempts < MAX_AWAIT_SAVE_ATTEMPTS) {
             scheduler.after(AWAIT_SAVE_US, () -> reportEnd(kind, report, attempts + 1));
             return;
--- a/edge/src/main/java/martenloom/edge/jobs/JobRunner.java
+++ b/edge/src/main/java/martenloom/edge/jobs/JobRunner.java
@@ -23,8 +23,10 @@
 /**
  * Runs the deferred jobs of a region while this edge holds that role. It picks by urgency, then by
  * shared prefix, starts a job only when the dispatcher has capacity to spare, and reports every
- * step to the core under the fencing token of its lease; when the lease ends it abandons everything
- * at once. The core decides what a lost run means. Runs on the reactor thread.
+ * step to the core under the fencing token of its lease. While the lease is not held it starts
+ * nothing and abandons what may be repeated, since a successor would run it again; what may run
+ * only once goes on, for nobody else may run it, and is reported if the same lease is held again.
+ * The core decides what a lost run means. Runs on the reactor thread.
  */
 public final class JobRunner implements JobRun.Owner {
     private static final int MAX_RUNS = 6;
@@ -118,9 +120,10 @@
     /** Compares what runs with the listings, and starts what is to run. */
     public void tick() {
         if (!lease.isHeld()) {
-            if (!runs.isEmpty()) {
-                abandonAll("the role is not held");
-            }
+            runs.values().stream()
+                    .filter(JobRun::mayBeRepeated)
+                    .toList()
+                    .forEach(run -> abandon(run, "the role is not held"));
             return;
         }
         waitReasons.clear();
--- a/launcher/src/test/java/martenloom/launcher/DeferredJobsTest.java
+++ b/launcher/src/test/java/martenloom/launcher/DeferredJobsTest.java
@@ -32,6 +32,7 @@
     private static final int LARGE_RESULT_BYTES = 250_000;
     private static final int BACKLOG = 60;
     private static final int USUAL_REVISION = 3;
+    private static final int LONG_EXECUTION_MS = 7_000;
     private static final int IMAGE_BYTES = 40_000;
     private static final int TOO_LARGE_BYTES = 300_000;
 
@@ -223,6 +224,22 @@
         assertEquals(409, result(0, "once").status());
     }
 
+    /** Guards against a job that is given up though neither its runner nor its replica is lost. */
+    @Test
+    void aJobThatMayRunOnceOutlastsACoreWithoutAHead() {
+        var replica = cluster.replica("i-a");
+        replica.executionMs(LONG_EXECUTION_MS);
+        assertEquals(200, submit(0, "once", job("/once/x", DUE_MS, "p")));
+        assertReaches(0, "once", "running", "running at");
+        killCores();
+        for (var edge : new int[] {0, 3}) {
+            cluster.askUntil(cluster.edge(edge), "jobs", text -> text.contains("held false"));
+        }
+        startCores();
+        assertReaches(0, "once", "done", "\"Status\":200");
+        assertEquals(1, executions("once"));
+    }
+
     @Test
     void jobsSurviveARestartOfAllCoreDaemonsAndAWipedDisk() {
         cluster.faultOfAll(ReplicaFault.NOT_EXECUTED);
