--- a/simulation/src/main/java/martenloom/simulation/history/Invariant.java
+++ b/simulation/src/main/java/martenloom/simulation/history/Invariant.java
@@ -23,6 +23,8 @@
     MAJORITIES_MEET,
     /** One holder at a time for a lease; its fencing token rises with each new holder only. */
     FENCED_LEASE,
+    /** A job that was acknowledged is part of every later state, with its body. */
+    KEPT_JOB,
     /** In a calm cluster every member catches up within a bound. */
     LEVEL,
     /** In a calm cluster a configuration is acknowledged within a bound. */
--- a/simulation/src/main/java/martenloom/simulation/history/InvariantChecker.java
+++ b/simulation/src/main/java/martenloom/simulation/history/InvariantChecker.java
@@ -22,6 +22,7 @@
     private final ConfigurationHistory configurations = new ConfigurationHistory();
     private final EvacuationHistory evacuations = new EvacuationHistory();
     private final LeaseHistory leases = new LeaseHistory();
+    private final JobHistory jobs = new JobHistory();
 
     public ConfigurationHistory configurations() {
         return configurations;
@@ -35,6 +36,10 @@
         return leases;
     }
 
+    public JobHistory jobs() {
+        return jobs;
+    }
+
     /** The newest edition that any member has committed. */
     public long newestEdition() {
         return stateByEdition.isEmpty() ? 0 : stateByEdition.lastKey();
@@ -66,6 +71,7 @@
         }
         configurations.onCommitted(state);
         evacuations.onCommitted(state);
+        jobs.onCommitted(state);
     }
 
     private static void checkRosters(List<String> before, List<String> after) {
--- a/simulation/src/main/java/martenloom/simulation/workload/Workload.java
+++ b/simulation/src/main/java/martenloom/simulation/workload/Workload.java
@@ -8,7 +8,8 @@
 
 /**
  * All clients of a simulated day: operators that race on the configuration, readers, operators that
- * evacuate zones, and candidates for one lease. Each draws from a random stream of its own.
+ * evacuate zones, candidates for one lease, and clients that submit jobs. Each draws from a random
+ * stream of its own.
  */
 public final class Workload {
     private static final List<String> OPERATORS = List.of("a", "b");
@@ -16,6 +17,7 @@
     private static final List<String> ZONES = List.of("north-1", "south-1");
     private static final List<String> CANDIDATES =
             List.of("10.9.0.1#1", "10.9.0.2#1", "10.9.0.3#1");
+    private static final List<String> SUBMITTERS = List.of("e", "f");
     private static final String ROLE = "scale/north";
 
     private final long seed;
@@ -51,6 +53,7 @@
         READERS.forEach(this::startReader);
         ZONES.forEach(this::startEvacuations);
         CANDIDATES.forEach(this::startCandidate);
+        SUBMITTERS.forEach(this::startSubmitter);
     }
 
     private void startReader(String name) {
@@ -68,6 +71,11 @@
         new LeaseCandidate(ROLE, name, events, random, members, invariants.leases()).start();
     }
 
+    private void startSubmitter(String name) {
+        var random = RandomStream.of(seed, "submitter " + name);
+        new JobSubmitter(name, client, events, random, invariants.jobs()).start();
+    }
+
     /** Lets one operator replace the configuration so many times without a pause. */
     public void storm(int operator, int count) {
         operators.get(operator % operators.size()).storm(count);
