An edge that starts after a zone was taken back holds its replicas for cold

Cause: edges know of a return only by having seen the zone evacuated.

An edge keeps the moment of the return by zone and applies it to replicas that come later. A home that itself has just started does not know; replicas' heartbeats tell.

The shell shows what is warming.

--- a/common/src/main/java/martenloom/common/fleet/RecordType.java
+++ b/common/src/main/java/martenloom/common/fleet/RecordType.java
@@ -79,6 +79,12 @@
     /** From a home to an edge: the replicas of the ranges that differ, in short rows. */
     public static final int REPLICA_RANGES = 69;
 
+    /**
+     * From a home to an edge behind {@link #CONFIGURATION}: the zones that were taken back lately,
+     * with how long ago. Sent to edges that have announced {@link #PEER_FEATURES}.
+     */
+    public static final int RETURNED_ZONES = 70;
+
     /** An edge reports its own part of the load to its home. */
     public static final int LOAD_SAMPLE = 80;
 
--- a/core/src/main/java/martenloom/core/edge/ConfigurationPublisher.java
+++ b/core/src/main/java/martenloom/core/edge/ConfigurationPublisher.java
@@ -23,6 +23,8 @@
     /** The revision that each edge was last sent on its current link. */
     private final Map<String, Long> sentRevision = new HashMap<>();
 
+    private final ReturnedZones returnedZones = new ReturnedZones();
+
     /** Has sent nothing to any edge yet. */
     public ConfigurationPublisher(ChainMember chain, EdgeLinks edges) {
         this.chain = chain;
@@ -31,6 +33,7 @@
 
     /** Sends a newly committed state to all edges. */
     public void onCommitted(ClusterState state) {
+        returnedZones.onCommitted(state.evacuations().zones(), Clocks.nowUs());
         var complete = encode(state, true);
         var withoutRoutingText = encode(state, false);
         var revision = state.configuration().revision();
@@ -52,6 +55,7 @@
         }
         var state = chain.committed();
         link.send(encode(state, true));
+        returnedZones.send(link, Clocks.nowUs());
         sentRevision.put(edgeIp, state.configuration().revision());
     }
 
--- a/edge/src/main/java/martenloom/edge/EdgeDaemon.java
+++ b/edge/src/main/java/martenloom/edge/EdgeDaemon.java
@@ -65,6 +65,7 @@
             Set.of(
                     RecordType.EDGE_LEASE_RESPONSE,
                     RecordType.CONFIGURATION,
+                    RecordType.RETURNED_ZONES,
                     RecordType.REPLICA_UPDATE,
                     RecordType.REPLICA_CHANGES,
                     RecordType.REPLICA_RANGES,
@@ -290,6 +291,7 @@
             case RecordType.KNOWN_PEERS -> {}
             case RecordType.EDGE_LEASE_RESPONSE -> subscription.onResponse(link, in);
             case RecordType.CONFIGURATION -> configuration.onConfiguration(in);
+            case RecordType.RETURNED_ZONES -> configuration.onReturnedZones(in);
             case RecordType.REPLICA_UPDATE -> subscription.onReplicas(in);
             case RecordType.REPLICA_CHANGES -> subscription.onChanges(in);
             case RecordType.REPLICA_RANGES -> subscription.onRanges(in);
--- a/edge/src/main/java/martenloom/edge/admin/ShellQueries.java
+++ b/edge/src/main/java/martenloom/edge/admin/ShellQueries.java
@@ -142,7 +142,7 @@
 
     private static String replica(ReplicaEndpoint replica, long now) {
         return String.format(
-                "%s %s %s in-hand %d others %d unread %d rate %.1f work %d us rtt %d us%s%s\n",
+                "%s %s %s in-hand %d others %d unread %d rate %.1f work %d us rtt %d us%s%s%s\n",
                 replica.id(),
                 replica.service(),
                 replica.zone(),
@@ -153,6 +153,7 @@
                 (long) replica.latency().serviceTimeUs(),
                 (long) replica.latency().roundTripUs(),
                 replica.isDraining() ? " draining" : "",
-                replica.reachability().isSuspected(now) ? " suspect" : "");
+                replica.reachability().isSuspected(now) ? " suspect" : "",
+                replica.isWarm(now) ? "" : " warming");
     }
 }
--- a/edge/src/main/java/martenloom/edge/dispatch/ClusterView.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/ClusterView.java
@@ -1,5 +1,7 @@
 package martenloom.edge.dispatch;
 
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -25,6 +27,9 @@
     /** By region and model, as in {@link #regionAndModel}. */
     private Map<String, ReplicaPlacement> placements = Map.of();
 
+    /** When zones were taken back, as far as this edge has seen it or was told. */
+    private final Map<String, Long> returnedUs = new HashMap<>();
+
     private int edgeCount = 1;
 
     ClusterView(ReplicaTable replicaTable) {
@@ -68,7 +73,7 @@
 
     void setTable(RouteTable newTable) {
         table = newTable;
-        replicaTable.all().forEach(this::markUnloaded);
+        replicaTable.all().forEach(this::onReplica);
     }
 
     void setPlacements(Map<String, ReplicaPlacement> newPlacements) {
@@ -76,8 +81,14 @@
         replicaTable.all().forEach(this::markUnloaded);
     }
 
+    /** Marks a replica that is new, or of which something has changed. */
+    void onReplica(ReplicaEndpoint replica) {
+        markUnloaded(replica);
+        warmUpAfterReturn(replica);
+    }
+
     /** Marks whether a replica is unloaded, by the placement of its model in its region. */
-    void markUnloaded(ReplicaEndpoint replica) {
+    private void markUnloaded(ReplicaEndpoint replica) {
         var placement = placement(replica);
         replica.setUnloaded(placement.isPresent() && placement.get().isUnloaded(replica.id()));
     }
@@ -92,17 +103,25 @@
 
     /** Replicas of a zone that is no longer evacuated warm up again. */
     void setEvacuatedZones(Set<String> zones, long nowUs) {
-        for (var replica : replicaTable.all()) {
-            var zone = replica.zone();
-            if (evacuatedZones.contains(zone) && !zones.contains(zone)) {
-                var service = table.services().get(replica.service());
-                var warmupUs = service == null ? 0 : service.warmupUs();
-                replica.warmup()
-                        .restart(
-                                warmupUs == 0 ? 0 : nowUs + warmupUs + EVACUATION_WARMUP_MARGIN_US);
-            }
-        }
+        var returned = new HashSet<>(evacuatedZones);
+        returned.removeAll(zones);
         evacuatedZones = Set.copyOf(zones);
+        returned.forEach(zone -> returnedUs.put(zone, nowUs));
+        replicaTable.all().forEach(this::warmUpAfterReturn);
+    }
+
+    /** Takes zones that were taken back before this edge could see it, and how long ago. */
+    void addReturnedZones(Map<String, Long> returnedAgoUs, long nowUs) {
+        returnedAgoUs.forEach((zone, agoUs) -> returnedUs.putIfAbsent(zone, nowUs - agoUs));
+        replicaTable.all().forEach(this::warmUpAfterReturn);
+    }
+
+    private void warmUpAfterReturn(ReplicaEndpoint replica) {
+        var returned = returnedUs.get(replica.zone());
+        var service = table.services().get(replica.service());
+        if (returned != null && service != null && service.warmupUs() > 0) {
+            replica.warmup().extend(returned + service.warmupUs() + EVACUATION_WARMUP_MARGIN_US);
+        }
     }
 
     void setEdgeCount(int mostEver) {
--- a/edge/src/main/java/martenloom/edge/dispatch/RequestDispatcher.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/RequestDispatcher.java
@@ -160,6 +160,11 @@
         cluster.setEvacuatedZones(zones, nowUs);
     }
 
+    /** Takes zones with how long ago they were taken back, in microseconds. */
+    public void onReturnedZones(Map<String, Long> returnedAgoUs, long nowUs) {
+        cluster.addReturnedZones(returnedAgoUs, nowUs);
+    }
+
     public void onEdgeCount(int mostEver) {
         cluster.setEdgeCount(mostEver);
     }
@@ -167,7 +172,7 @@
     /** Takes a record of a replica; one that is gone is dropped. */
     public void onReplica(ReplicaRecord replica) {
         replicaTable.register(replica);
-        replicaTable.find(replica.id()).ifPresent(cluster::markUnloaded);
+        replicaTable.find(replica.id()).ifPresent(cluster::onReplica);
     }
 
     // ---- requests of clients
--- a/edge/src/main/java/martenloom/edge/replica/WarmupState.java
+++ b/edge/src/main/java/martenloom/edge/replica/WarmupState.java
@@ -17,9 +17,9 @@
 
     private final ArrayDeque<Long> sends = new ArrayDeque<>();
 
-    /** The replica begins anew to warm up. */
-    public void restart(long untilUs) {
-        minWarmAtUs = untilUs;
+    /** The replica warms up until then at least. */
+    public void extend(long untilUs) {
+        minWarmAtUs = Math.max(minWarmAtUs, untilUs);
     }
 
     /**
--- a/edge/src/main/java/martenloom/edge/subscription/ConfigurationReceiver.java
+++ b/edge/src/main/java/martenloom/edge/subscription/ConfigurationReceiver.java
@@ -22,6 +22,8 @@
     private final HomeConnection home;
     private final RequestDispatcher dispatcher;
     private final RegionScaler scaler;
+    private static final long US_PER_MS = 1_000;
+
     private long edition = -1;
     private volatile long revision;
 
@@ -79,6 +81,13 @@
         dispatcher.onEvacuatedZones(Set.copyOf(evacuated), Clocks.nowUs());
     }
 
+    /** Takes the zones that were taken back lately, with how long ago. */
+    public void onReturnedZones(RecordReader in) {
+        var zones = new TreeMap<String, Long>();
+        in.list(row -> zones.put(row.text(), row.i64() * US_PER_MS));
+        dispatcher.onReturnedZones(zones, Clocks.nowUs());
+    }
+
     private static Map<String, ReplicaPlacement> readPlacements(RecordReader in) {
         var placements = new TreeMap<String, ReplicaPlacement>();
         in.list(
