--- a/launcher/src/test/java/martenloom/launcher/ClientsUnderFaultsTest.java
+++ b/launcher/src/test/java/martenloom/launcher/ClientsUnderFaultsTest.java
@@ -28,6 +28,7 @@
 import martenloom.launcher.harness.TestCluster;
 import martenloom.launcher.harness.TestConfiguration;
 import martenloom.launcher.harness.TestHttpClient;
+import martenloom.launcher.harness.TestRoute;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -67,10 +68,16 @@
                     ReplicaFault.CUT_STREAM,
                     ReplicaFault.SERVER_ERROR);
 
+    /** What may run once has further attempts too, for those that were not run. */
+    private static final TestRoute[] ROUTES = {
+        new TestRoute("once3", "/once3/", "non_idempotent", "plain", 3),
+        new TestRoute("streamo3", "/o3/", "streaming", "model", 3)
+    };
+
     private enum Kind {
         REPEATABLE("/safe/x"),
-        ONCE("/once/x"),
-        STREAM("/o/stream"),
+        ONCE("/once3/x"),
+        STREAM("/o3/stream"),
         RESUMABLE_STREAM("/r/stream");
 
         private final String path;
@@ -114,6 +121,7 @@
                             .replicas("model", 0, "i-m0", "i-m0b")
                             .replica("i-m1", "model", 1)
                             .edges(0, 1, 2, 3)
+                            .routes(ROUTES)
                             .start()) {
                 cluster = started;
                 play(seed);
@@ -252,7 +260,7 @@
                         200,
                         cluster.control()
                                 .replaceConfiguration(
-                                        revision, TestConfiguration.of(revision + 1)));
+                                        revision, TestConfiguration.of(revision + 1, ROUTES)));
                 revision++;
             } else {
                 orderUntilTaken(random.nextBoolean() ? "start" : "finish");
