--- a/launcher/src/test/java/martenloom/launcher/ClientsUnderFaultsTest.java
+++ b/launcher/src/test/java/martenloom/launcher/ClientsUnderFaultsTest.java
@@ -311,23 +311,9 @@
     /** Kills or freezes a core daemon; the future ends when it is back and in the view. */
     private CompletableFuture<Void> disturbCore(Random random) {
         var core = random.nextInt(CORES);
-        var ip = cluster.core(core);
         var freezes = random.nextBoolean();
-        if (freezes) {
-            cluster.freeze(ip);
-        } else {
-            cluster.kill(ip);
-        }
-        return CompletableFuture.runAsync(
-                () -> {
-                    if (freezes) {
-                        cluster.thaw(ip);
-                    } else {
-                        cluster.startCore(core);
-                    }
-                    cluster.awaitView(0, 1, 2);
-                },
-                after(random.nextInt(LONGEST_DOWN_MS)));
+        return cluster.interruptCore(core, freezes, random.nextInt(LONGEST_DOWN_MS))
+                .thenRunAsync(() -> cluster.awaitView(0, 1, 2));
     }
 
     /** Lets a replica misbehave for a while; the future ends when all has been well for as long. */
--- a/launcher/src/test/java/martenloom/launcher/OrdersUnderFaultsTest.java
+++ b/launcher/src/test/java/martenloom/launcher/OrdersUnderFaultsTest.java
@@ -105,21 +105,7 @@
     private CompletableFuture<Void> beginFault() {
         var core = random.nextInt(CORES);
         var freezes = random.nextBoolean();
-        var ip = cluster.core(core);
-        if (freezes) {
-            cluster.freeze(ip);
-        } else {
-            cluster.kill(ip);
-        }
-        return CompletableFuture.runAsync(
-                () -> {
-                    if (freezes) {
-                        cluster.thaw(ip);
-                    } else {
-                        cluster.startCore(core);
-                    }
-                },
-                after(random.nextInt(LONGEST_FAULT_MS)));
+        return cluster.interruptCore(core, freezes, random.nextInt(LONGEST_FAULT_MS));
     }
 
     private static Executor after(int delayMs) {
--- a/launcher/src/test/java/martenloom/launcher/harness/TestCluster.java
+++ b/launcher/src/test/java/martenloom/launcher/harness/TestCluster.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -244,6 +245,25 @@
         Optional.ofNullable(disks.remove(ip)).ifPresent(DetachableDisk::detach);
     }
 
+    /** Freezes or kills a core daemon for a while; the future ends when it is back. */
+    public CompletableFuture<Void> interruptCore(int number, boolean freezes, int lengthMs) {
+        var ip = core(number);
+        if (freezes) {
+            freeze(ip);
+        } else {
+            kill(ip);
+        }
+        return CompletableFuture.runAsync(
+                () -> {
+                    if (freezes) {
+                        thaw(ip);
+                    } else {
+                        startCore(number);
+                    }
+                },
+                CompletableFuture.delayedExecutor(lengthMs, TimeUnit.MILLISECONDS));
+    }
+
     // ---- replicas
 
     /** All replicas in the order in which they were added. */
