One account of what callers make a core daemon hold at its API

Callers saw: a core daemon ended by heads that did not end, opened more descriptors than it may, and answered nobody while a crowd stayed. Cause: only bodies over 64 KiB were bounded. Heads, connections, smaller bodies, the capacity of buffers and unread responses were not. Change: Callers and MemoryAccount. Connections and bytes have one bound; the caller awaited for longest gives way to a new one, a caller that is served never does. HttpCallers puts ActiveJ's server under it. The test of bodies counts in the account that its holder names; its assertions are the same.

--- a/edge/src/main/java/martenloom/edge/memory/BodyBuffer.java
+++ b/common/src/main/java/martenloom/common/callers/BodyBuffer.java
@@ -1,4 +1,4 @@
-package martenloom.edge.memory;
+package martenloom.common.callers;
 
 import java.util.Arrays;
 
@@ -48,6 +48,11 @@
         return length;
     }
 
+    /** The bytes that it takes of the heap: at most twice those that have come, or a few KiB. */
+    public int capacity() {
+        return bytes.length;
+    }
+
     /** All bytes; nothing may be appended any more. */
     public byte[] complete() {
         return length == bytes.length ? bytes : Arrays.copyOf(bytes, length);
--- a/core/src/main/java/martenloom/core/CoreDaemon.java
+++ b/core/src/main/java/martenloom/core/CoreDaemon.java
@@ -4,6 +4,9 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import martenloom.common.callers.CallerBounds;
+import martenloom.common.callers.Callers;
+import martenloom.common.callers.MemoryAccount;
 import martenloom.common.clock.Clocks;
 import martenloom.common.codec.RecordReader;
 import martenloom.common.codec.RecordWriter;
@@ -126,7 +129,8 @@
         edgeLeases = edgeLeases(startedUs, routes);
         shellQueries = new ShellQueries(settings, chain, registry, placement, edges);
         controlApi = controlApi(routes);
-        controlServer = new ControlServer(loop, settings, controlApi, shutdown::hasBegun);
+        controlServer =
+                new ControlServer(loop, settings, controlApi, shutdown::hasBegun, apiCallers());
     }
 
     private EdgeLeaseRenewals edgeLeases(long startedUs, CompiledRoutes routes) {
@@ -158,6 +162,11 @@
         return new ControlApi(services);
     }
 
+    private Callers apiCallers() {
+        var bounds = CallerBounds.ofCore(settings);
+        return Callers.at(loop, bounds.connections(), new MemoryAccount(bounds.bytes()));
+    }
+
     // ---- start and end
 
     /** Opens the listening sockets and the links, and starts the timers. */
--- a/core/src/main/java/martenloom/core/api/CommandCalls.java
+++ b/core/src/main/java/martenloom/core/api/CommandCalls.java
@@ -6,6 +6,7 @@
 import io.activej.promise.SettablePromise;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
+import martenloom.common.callers.HttpCaller;
 import martenloom.common.clock.Clocks;
 import martenloom.common.log.RingLog;
 import martenloom.core.chain.ChainMember;
@@ -69,7 +70,7 @@
      *
      * @param caller the caller, whose call was read to its end
      */
-    Promise<HttpResponse> submitWhileWaiting(Command order, Caller caller) {
+    Promise<HttpResponse> submitWhileWaiting(Command order, HttpCaller caller) {
         var pending =
                 new PendingCommand(
                         chain.committed().accepted(order),
--- a/core/src/main/java/martenloom/core/api/ControlApi.java
+++ b/core/src/main/java/martenloom/core/api/ControlApi.java
@@ -4,6 +4,7 @@
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
+import martenloom.common.callers.HttpCallers;
 import martenloom.core.state.Command.CancelJob;
 import martenloom.core.state.Command.ConfirmJobResult;
 import martenloom.core.state.Command.FinishEvacuation;
@@ -28,9 +29,6 @@
     private static final int THIRD = 3;
     private static final int FOURTH = 4;
 
-    /** The part of the heap that the bodies of calls may take together. */
-    private static final long BODIES_DIVISOR = 8;
-
     private final RequestBodies bodies;
     private final CommandCalls commands;
     private final OperatorCalls operator;
@@ -40,8 +38,7 @@
 
     /** Serves nothing by itself, see {@link ControlServer}. */
     public ControlApi(ControlServices daemon) {
-        bodies =
-                new RequestBodies(daemon.loop(), Runtime.getRuntime().maxMemory() / BODIES_DIVISOR);
+        bodies = new RequestBodies(daemon.loop(), HttpCallers::callerOf);
         commands = new CommandCalls(daemon.loop(), daemon.chain(), daemon.forwarder());
         operator = new OperatorCalls(daemon.settings(), daemon.routes(), commands, bodies);
         replicas =
--- a/core/src/main/java/martenloom/core/api/ControlServer.java
+++ b/core/src/main/java/martenloom/core/api/ControlServer.java
@@ -9,6 +9,8 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.function.BooleanSupplier;
+import martenloom.common.callers.Callers;
+import martenloom.common.callers.HttpCallers;
 import martenloom.common.settings.IpPort;
 import martenloom.common.settings.Settings;
 
@@ -26,10 +28,20 @@
     private final Settings settings;
     private final ControlApi api;
     private final BooleanSupplier shuttingDown;
+    private final HttpCallers callers;
 
-    /** Opens nothing until {@link #listen} is called. */
+    /**
+     * Opens nothing until {@link #listen} is called.
+     *
+     * @param callers the bounds on the connections of its callers
+     */
     public ControlServer(
-            Eventloop loop, Settings settings, ControlApi api, BooleanSupplier shuttingDown) {
+            Eventloop loop,
+            Settings settings,
+            ControlApi api,
+            BooleanSupplier shuttingDown,
+            Callers callers) {
+        this.callers = new HttpCallers(callers);
         this.loop = loop;
         this.settings = settings;
         this.api = api;
@@ -48,19 +60,16 @@
         if (settings.listenAddresses().containsKey(DIRECTORY)) {
             addresses.add(IpPort.parse(DIRECTORY, settings.requiredListenAddress(DIRECTORY)));
         }
-        var callers = new CallerConnections();
-        HttpServer.builder(
-                        loop,
-                        request ->
-                                shuttingDown.getAsBoolean()
-                                        ? Promise.of(ApiResponses.shuttingDown())
-                                        : api.serve(request))
-                .withListenAddresses(List.copyOf(addresses))
-                .withKeepAliveTimeout(KEEP_ALIVE)
-                .withMaxBodySize(MAX_BODY_BYTES)
-                .withSocketInspector(callers.sockets())
-                .withInspector(callers)
-                .build()
-                .listen();
+        var server =
+                HttpServer.builder(
+                                loop,
+                                request ->
+                                        shuttingDown.getAsBoolean()
+                                                ? Promise.of(ApiResponses.shuttingDown())
+                                                : api.serve(request))
+                        .withListenAddresses(List.copyOf(addresses))
+                        .withKeepAliveTimeout(KEEP_ALIVE)
+                        .withMaxBodySize(MAX_BODY_BYTES);
+        callers.bound(server).build().listen();
     }
 }
--- a/core/src/main/java/martenloom/core/api/OperatorCalls.java
+++ b/core/src/main/java/martenloom/core/api/OperatorCalls.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.function.BiFunction;
 import java.util.function.Function;
+import martenloom.common.callers.HttpCallers;
 import martenloom.common.settings.Settings;
 import martenloom.core.configuration.CompiledRoutes;
 import martenloom.core.state.Command;
@@ -85,7 +86,8 @@
     /** Submits an order without a base once its call was read to its end. */
     private Promise<HttpResponse> submitWhileWaiting(HttpRequest request, Command order) {
         return bodies.read(
-                request, unused -> commands.submitWhileWaiting(order, Caller.of(request)));
+                request,
+                unused -> commands.submitWhileWaiting(order, HttpCallers.callerOf(request)));
     }
 
     private boolean isServed(String model) {
--- a/core/src/main/java/martenloom/core/api/RequestBodies.java
+++ b/core/src/main/java/martenloom/core/api/RequestBodies.java
@@ -8,50 +8,43 @@
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.function.Function;
+import martenloom.common.callers.BodyBuffer;
+import martenloom.common.callers.BodyHolder;
 import martenloom.common.clock.Clocks;
 import martenloom.common.clock.ReactorTimer;
 
 /**
- * Reads the bodies of calls, and keeps the account of their bytes: one bound for all connections
- * together. Bytes count as they come, until the call is answered. A call whose body finds no room
- * is refused with 503 and its connection closed; a small body always finds room. Runs on the
- * reactor thread.
+ * Reads the bodies of calls. Their bytes count as they come, until the call is answered, at a
+ * {@link BodyHolder}. A call whose body finds no room is refused with 503 and its connection
+ * closed. Runs on the reactor thread.
  */
 final class RequestBodies {
     /** The longest body that is read. */
     static final int MAX_BODY_BYTES = 8 << 20;
 
-    /** A body up to this size is small. */
-    private static final int SMALL_BYTES = 64 << 10;
-
     /** A body that has not come to its end by then is given up. */
     static final long MAX_READING_US = 20_000_000;
 
     private static final String RETRY_AFTER_S = "1";
 
     private final Eventloop loop;
-    private final long capacityBytes;
-    private long heldBytes;
+    private final Function<HttpRequest, BodyHolder> holders;
 
-    /** An account of so many bytes. */
-    RequestBodies(Eventloop loop, long capacityBytes) {
+    /**
+     * @param holders who answers for the memory of the body of a request
+     */
+    RequestBodies(Eventloop loop, Function<HttpRequest, BodyHolder> holders) {
         this.loop = loop;
-        this.capacityBytes = capacityBytes;
-    }
-
-    /** The bytes of all calls that are not yet answered. */
-    long heldBytes() {
-        return heldBytes;
+        this.holders = holders;
     }
 
     /** Reads the body of a call as text, serves the call, and gives the memory back. */
     Promise<HttpResponse> read(
             HttpRequest request, Function<String, Promise<HttpResponse>> service) {
-        var reading = new Reading(request.takeBodyStream(), service);
+        var reading = new Reading(request.takeBodyStream(), holders.apply(request), service);
         reading.begin();
         return reading.response.whenComplete(reading::release);
     }
@@ -61,15 +54,21 @@
         private final ChannelSupplier<ByteBuf> source;
         private final Function<String, Promise<HttpResponse>> service;
         private final SettablePromise<HttpResponse> response = new SettablePromise<>();
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final BodyHolder holder;
+        private BodyBuffer body = BodyBuffer.ofUnknownLength();
         private Optional<ReactorTimer> timeout = Optional.empty();
 
-        Reading(ChannelSupplier<ByteBuf> source, Function<String, Promise<HttpResponse>> service) {
+        Reading(
+                ChannelSupplier<ByteBuf> source,
+                BodyHolder holder,
+                Function<String, Promise<HttpResponse>> service) {
             this.source = source;
+            this.holder = holder;
             this.service = service;
         }
 
         void begin() {
+            holder.awaitBody();
             if (!readOn()) {
                 timeout = Optional.of(Clocks.after(loop, MAX_READING_US, this::giveUp));
             }
@@ -108,7 +107,9 @@
             }
             if (piece == null) {
                 timeout.ifPresent(ReactorTimer::cancel);
-                service.apply(body.toString(StandardCharsets.UTF_8)).subscribe(response::set);
+                holder.serve();
+                service.apply(new String(body.complete(), StandardCharsets.UTF_8))
+                        .subscribe(response::set);
                 return true;
             }
             append(piece);
@@ -118,14 +119,13 @@
 
         private void append(ByteBuf piece) {
             var length = piece.readRemaining();
-            var total = body.size() + length;
-            if (total > MAX_BODY_BYTES) {
+            if (body.length() + length > MAX_BODY_BYTES) {
                 refuse(HttpStatus.CONTENT_TOO_LARGE, "the body is over " + MAX_BODY_BYTES);
-            } else if (total > SMALL_BYTES && heldBytes + length > capacityBytes) {
+                return;
+            }
+            body.append(piece.array(), piece.head(), length);
+            if (!holder.holdBody(body.capacity())) {
                 refuse(HttpStatus.SERVICE_UNAVAILABLE, "no memory for the body now");
-            } else {
-                heldBytes += length;
-                body.write(piece.array(), piece.head(), length);
             }
         }
 
@@ -141,8 +141,8 @@
 
         void release() {
             timeout.ifPresent(ReactorTimer::cancel);
-            heldBytes -= body.size();
-            body.reset();
+            body = BodyBuffer.ofLength(0);
+            holder.holdBody(0);
         }
     }
 }
--- a/core/src/test/java/martenloom/core/api/RequestBodiesTest.java
+++ b/core/src/test/java/martenloom/core/api/RequestBodiesTest.java
@@ -13,6 +13,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import martenloom.common.callers.BodyHolder;
+import martenloom.common.callers.MemoryAccount;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -22,12 +24,36 @@
 
     private final List<String> served = new ArrayList<>();
     private Eventloop loop;
+    private MemoryAccount memory;
     private RequestBodies bodies;
 
     @BeforeEach
     void open() {
         loop = Eventloop.builder().withCurrentThread().build();
-        bodies = new RequestBodies(loop, LARGE + LARGE / 2);
+        bound(LARGE + LARGE / 2);
+    }
+
+    private void bound(long capacityBytes) {
+        memory = new MemoryAccount(capacityBytes);
+        bodies = new RequestBodies(loop, request -> new Holder());
+    }
+
+    /** Holds a body in the account of the test. */
+    private final class Holder implements BodyHolder {
+        private long held;
+
+        @Override
+        public void awaitBody() {}
+
+        @Override
+        public void serve() {}
+
+        @Override
+        public boolean holdBody(long bytes) {
+            memory.hold(bytes - held);
+            held = bytes;
+            return !memory.isExceeded();
+        }
     }
 
     /** A call whose body comes in pieces. */
@@ -63,12 +89,12 @@
     @Test
     void aBodyCountsFromItsFirstByteToTheResponse() {
         var call = new Call().send('a', 10).send('a', LARGE);
-        assertEquals(LARGE + 10, bodies.heldBytes());
+        assertEquals(LARGE + 10, memory.heldBytes());
         call.end();
         assertEquals(List.of(LARGE + 10 + " a"), served);
-        assertEquals(LARGE + 10, bodies.heldBytes());
+        assertEquals(LARGE + 10, memory.heldBytes());
         call.answer.set(HttpResponse.ok200().build());
-        assertEquals(0, bodies.heldBytes());
+        assertEquals(0, memory.heldBytes());
         assertEquals(200, call.status());
     }
 
@@ -83,10 +109,10 @@
 
     @Test
     void aBodyOverTheLimitIsRefused() {
-        bodies = new RequestBodies(loop, Long.MAX_VALUE);
+        bound(Long.MAX_VALUE);
         var call = new Call().send('a', RequestBodies.MAX_BODY_BYTES);
         assertFalse(call.response.isComplete());
         assertEquals(413, call.send('a', 1).status());
-        assertEquals(0, bodies.heldBytes());
+        assertEquals(0, memory.heldBytes());
     }
 }
--- a/edge/src/main/java/martenloom/edge/dispatch/RequestBody.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/RequestBody.java
@@ -3,12 +3,12 @@
 import io.activej.eventloop.Eventloop;
 import java.util.Optional;
 import java.util.function.Supplier;
+import martenloom.common.callers.BodyBuffer;
 import martenloom.common.clock.Clocks;
 import martenloom.edge.http.ChunkedBodyReader;
 import martenloom.edge.http.HttpStatus;
 import martenloom.edge.http.MalformedMessageException;
 import martenloom.edge.http.MessageHead;
-import martenloom.edge.memory.BodyBuffer;
 import martenloom.edge.memory.MessageMemory;
 import martenloom.edge.transport.SocketConnection;
 
--- a/edge/src/main/java/martenloom/edge/dispatch/ResponseBody.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/ResponseBody.java
@@ -1,11 +1,11 @@
 package martenloom.edge.dispatch;
 
 import java.util.function.Consumer;
+import martenloom.common.callers.BodyBuffer;
 import martenloom.common.clock.Clocks;
 import martenloom.edge.http.HeaderField;
 import martenloom.edge.http.HttpStatus;
 import martenloom.edge.http.MessageHead;
-import martenloom.edge.memory.BodyBuffer;
 import martenloom.edge.memory.MessageMemory;
 
 /**
--- a/edge/src/test/java/martenloom/edge/memory/MessageMemoryTest.java
+++ b/edge/src/test/java/martenloom/edge/memory/MessageMemoryTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import martenloom.common.callers.BodyBuffer;
 import org.junit.jupiter.api.Test;
 
 /** The account of the bytes of requests: one bound, order of arrival, no deadlock. */
--- a/launcher/src/test/java/martenloom/launcher/harness/ClusterSettings.java
+++ b/launcher/src/test/java/martenloom/launcher/harness/ClusterSettings.java
@@ -18,10 +18,29 @@
     private final ClusterLayout layout;
     private final Path dir;
     private final List<String> seeds;
+    private final int coreMemoryMb;
     private final int edgeMemoryMb;
+    private final int maxFileDescriptors;
 
     ClusterSettings(ClusterLayout layout, Path dir, int cores, int edgeMemoryMb) {
+        this(layout, dir, cores, CORE_MEMORY_MB, edgeMemoryMb, MAX_FILE_DESCRIPTORS);
+    }
+
+    /** The settings of daemons that are all limited alike. */
+    ClusterSettings(ClusterLayout layout, Path dir, int cores, ProcessLimits limits) {
+        this(layout, dir, cores, limits.memoryMb(), limits.memoryMb(), limits.maxFileDescriptors());
+    }
+
+    private ClusterSettings(
+            ClusterLayout layout,
+            Path dir,
+            int cores,
+            int coreMemoryMb,
+            int edgeMemoryMb,
+            int maxFileDescriptors) {
+        this.coreMemoryMb = coreMemoryMb;
         this.edgeMemoryMb = edgeMemoryMb;
+        this.maxFileDescriptors = maxFileDescriptors;
         this.layout = layout;
         this.dir = dir;
         seeds = IntStream.range(0, Math.min(MOST_SEEDS, cores)).mapToObj(layout::control).toList();
@@ -35,7 +54,7 @@
     String core(int core, boolean bootstrap, int internalPort) {
         var text = common("core", core, layout.core(core), internalPort);
         text.quoted("ControlPlane", layout.control(core));
-        bounds(text, CORE_MEMORY_MB);
+        bounds(text, coreMemoryMb);
         return "Bootstrap = " + bootstrap + "\nQuorumMember = true\n" + text;
     }
 
@@ -64,9 +83,9 @@
         return text.section("ListenAddresses");
     }
 
-    private static void bounds(SettingsText text, int memoryMb) {
+    private void bounds(SettingsText text, int memoryMb) {
         text.section("Limits")
-                .value("MaxFileDescriptors", MAX_FILE_DESCRIPTORS)
+                .value("MaxFileDescriptors", maxFileDescriptors)
                 .value("MemoryMb", memoryMb);
         text.section("Bounds")
                 .value("GracePeriodS", GRACE_PERIOD_S)
