Links that others open are bounded, at both programs

Callers saw: a process ended by records that announce 20 MB and do not end, and 745 to 747 descriptors of 600 by silent links. Cause: whoever connects to the port between daemons could open any number of links, and each could make its buffer grow to 24 MB, doubled. Change: accepted links stand under Callers; the one that has brought no record for longest gives way; a buffer grows no further than its record.

--- a/common/src/main/java/martenloom/common/link/PeerLink.java
+++ b/common/src/main/java/martenloom/common/link/PeerLink.java
@@ -5,6 +5,8 @@
 import io.activej.net.socket.tcp.ITcpSocket;
 import io.activej.reactor.Reactor;
 import java.util.Arrays;
+import java.util.Optional;
+import martenloom.common.callers.Callers;
 import martenloom.common.clock.Clocks;
 import martenloom.common.log.RingLog;
 import martenloom.common.socket.SocketReadHandler;
@@ -14,7 +16,7 @@
  * One open link between two daemons, in either direction. It carries records, each preceded by its
  * length in four bytes. It is open from the start and closes once. Runs on the reactor thread.
  */
-public final class PeerLink implements SocketReadHandler {
+public final class PeerLink implements SocketReadHandler, Callers.Connection {
     private static final int LENGTH_BYTES = 4;
 
     /** The longest record that a link takes. */
@@ -30,6 +32,9 @@
 
     private static final int INITIAL_BUFFER_BYTES = 1024;
 
+    /** The objects of a link. */
+    private static final int LINK_BYTES = 2 << 10;
+
     /** A larger buffer is given back as soon as it is empty. */
     private static final int MAX_IDLE_BUFFER_BYTES = 65536;
 
@@ -47,6 +52,10 @@
     private boolean open = true;
     private boolean readsShortForms;
     private long lastReceivedUs = Clocks.nowUs();
+
+    /** What bounds a link that was accepted; empty for one that this daemon has opened. */
+    private Optional<Callers.Caller> caller = Optional.empty();
+
     private Object attachment = "";
     private String peer;
 
@@ -57,6 +66,32 @@
         reader = new SocketReader(socket, this);
     }
 
+    /** Puts a link that was accepted under these bounds. */
+    void boundBy(Callers callers) {
+        caller = Optional.of(callers.open(this));
+        countHeld();
+    }
+
+    private boolean countHeld() {
+        return caller.map(bounded -> bounded.hold(heldBytes())).orElse(true);
+    }
+
+    @Override
+    public long heldBytes() {
+        return (long) LINK_BYTES + buffer.length;
+    }
+
+    /** A link may rest for any time; the one that rests for longest gives way first. */
+    @Override
+    public boolean isStalled(long nowUs) {
+        return false;
+    }
+
+    @Override
+    public void refuse() {
+        drop("gives way to others");
+    }
+
     /** Begins to read. */
     void start() {
         reader.readWhileWanted();
@@ -109,12 +144,12 @@
             return;
         }
         if (unsentBytes > MAX_UNSENT_BYTES) {
-            drop();
+            dropUnread();
             return;
         }
         if (traffic.unsentBytes() > MAX_UNSENT_ON_ALL_LINKS_BYTES) {
             traffic.slowestLink()
-                    .ifPresent(slowest -> Reactor.getCurrentReactor().post(slowest::drop));
+                    .ifPresent(slowest -> Reactor.getCurrentReactor().post(slowest::dropUnread));
         }
         var frameBytes = record.length + LENGTH_BYTES;
         var frame = ByteBufPool.allocate(frameBytes);
@@ -142,16 +177,22 @@
         return unsentBytes;
     }
 
-    private void drop() {
-        RingLog.debug("link " + peer + ": does not read, dropped");
+    private void dropUnread() {
+        drop("does not read");
+    }
+
+    private void drop(String reason) {
+        RingLog.debug("link " + peer + ": " + reason + ", dropped");
         close();
     }
 
     /** Closes the link and tells its handler; does nothing on a closed link. */
+    @Override
     public void close() {
         if (open) {
             open = false;
             socket.close();
+            caller.ifPresent(Callers.Caller::close);
             handler.onClosed(this);
         }
     }
@@ -170,14 +211,23 @@
     public void onBytes(ByteBuf bytes) {
         lastReceivedUs = Clocks.nowUs();
         var count = bytes.readRemaining();
-        if (buffered + count > buffer.length) {
-            buffer = Arrays.copyOf(buffer, Math.max(buffer.length * 2, buffered + count));
+        if (buffered + count > buffer.length && !makeRoom(buffered + count)) {
+            drop("no memory for its record");
+            return;
         }
         bytes.drainTo(buffer, buffered, count);
         buffered += count;
         handleRecords();
     }
 
+    /** Lets the buffer grow, not beyond the record that it holds a part of; whether it may. */
+    private boolean makeRoom(int neededBytes) {
+        var recordBytes = buffered < LENGTH_BYTES ? 0 : Math.max(0, lengthAt(0)) + LENGTH_BYTES;
+        var doubled = Math.min(buffer.length * 2, recordBytes);
+        buffer = Arrays.copyOf(buffer, Math.max(doubled, neededBytes));
+        return countHeld();
+    }
+
     /** Passes all whole records in the buffer on and keeps the rest. */
     private void handleRecords() {
         var at = 0;
@@ -195,11 +245,13 @@
             var record = Arrays.copyOfRange(buffer, at, at + length);
             at += length;
             handle(record);
+            caller.ifPresent(Callers.Caller::await);
         }
         System.arraycopy(buffer, at, buffer, 0, buffered - at);
         buffered -= at;
         if (buffered == 0 && buffer.length > MAX_IDLE_BUFFER_BYTES) {
             buffer = new byte[INITIAL_BUFFER_BYTES];
+            countHeld();
         }
     }
 
--- a/core/src/main/java/martenloom/core/CoreDaemon.java
+++ b/core/src/main/java/martenloom/core/CoreDaemon.java
@@ -167,6 +167,11 @@
         return Callers.at(loop, bounds.connections(), new MemoryAccount(bounds.bytes()));
     }
 
+    private Callers linkCallers() {
+        var bounds = CallerBounds.ofCore(settings);
+        return Callers.at(loop, bounds.linkConnections(), new MemoryAccount(bounds.linkBytes()));
+    }
+
     // ---- start and end
 
     /** Opens the listening sockets and the links, and starts the timers. */
@@ -175,7 +180,8 @@
                 loop,
                 new InetSocketAddress(
                         InetAddress.getByName(settings.ipAddress()), settings.firstInternalPort()),
-                this);
+                this,
+                linkCallers());
         controlServer.listen();
         peers.dialAll(chain.memberState().state().roster().members());
         peers.dialSeeds();
--- a/edge/src/main/java/martenloom/edge/EdgeDaemon.java
+++ b/edge/src/main/java/martenloom/edge/EdgeDaemon.java
@@ -11,6 +11,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import martenloom.autoscaler.ScalingSettings;
+import martenloom.common.callers.CallerBounds;
+import martenloom.common.callers.Callers;
+import martenloom.common.callers.MemoryAccount;
 import martenloom.common.clock.Clocks;
 import martenloom.common.codec.RecordReader;
 import martenloom.common.codec.RecordWriter;
@@ -168,7 +171,8 @@
                 loop,
                 new InetSocketAddress(
                         InetAddress.getByName(settings.ipAddress()), settings.firstInternalPort()),
-                this);
+                this,
+                fewCallers());
         readiness.listen(
                 loop, IpPort.parse("Readiness", settings.requiredListenAddress("Readiness")));
         listenForClients();
@@ -187,6 +191,12 @@
                         + settings.requiredListenAddress("Frontend"));
     }
 
+    /** The callers of a listener to which only daemons and the platform connect. */
+    private Callers fewCallers() {
+        var bounds = CallerBounds.ofEdge(settings);
+        return Callers.at(loop, bounds.linkConnections(), new MemoryAccount(bounds.linkBytes()));
+    }
+
     private void listenForClients() throws IOException {
         var server =
                 SimpleServer.builder(loop, socket -> new ClientConnection(loop, socket, dispatcher))
--- a/launcher/src/test/java/martenloom/launcher/ClientCrowdTest.java
+++ b/launcher/src/test/java/martenloom/launcher/ClientCrowdTest.java
@@ -94,6 +94,22 @@
                 cluster.readiness(0), clients, sent, edge, each -> each.answersAtReadiness(0));
     }
 
+    @Test
+    void silentLinksToAnEdge() {
+        var edge = cluster.edge(0);
+        assertServedBeside(cluster.edgeLinks(0), CROWD, "", edge, each -> each.answersAtEdge(0));
+    }
+
+    @Test
+    void recordsWithoutEndOnLinksToAnEdge() {
+        assertServedBeside(
+                cluster.edgeLinks(0),
+                LARGE_SENDERS,
+                recordWithoutEnd(),
+                cluster.edge(0),
+                each -> each.answersAtEdge(0));
+    }
+
     // ---- calls to a core daemon
 
     @Test
@@ -144,6 +160,22 @@
 
     // ---- the other listener of a core daemon
 
+    @Test
+    void silentLinksToACoreDaemon() {
+        var core = cluster.core(0);
+        assertServedBeside(cluster.coreLinks(0), CROWD, "", core, each -> each.answersAtCore(0));
+    }
+
+    @Test
+    void recordsWithoutEndOnLinksToACoreDaemon() {
+        assertServedBeside(
+                cluster.coreLinks(0),
+                LARGE_SENDERS,
+                recordWithoutEnd(),
+                cluster.core(0),
+                each -> each.answersAtCore(0));
+    }
+
     // ---- what the crowds send
 
     private static String shortBody(int announced) {
