The readiness check of an edge is bounded

Callers saw: an edge ended by unfinished heads at its readiness check, and opened 747 descriptors of 600 by silent connections there. Cause: its HTTP server had no bound on connections or on heads. Change: 32 connections and a sixteenth of the memory, under Callers.

--- a/edge/src/main/java/martenloom/edge/EdgeDaemon.java
+++ b/edge/src/main/java/martenloom/edge/EdgeDaemon.java
@@ -174,7 +174,9 @@
                 this,
                 fewCallers());
         readiness.listen(
-                loop, IpPort.parse("Readiness", settings.requiredListenAddress("Readiness")));
+                loop,
+                IpPort.parse("Readiness", settings.requiredListenAddress("Readiness")),
+                fewCallers());
         listenForClients();
         home.open();
         Clocks.every(loop, DISPATCH_INTERVAL_US, dispatcher::tick);
--- a/edge/src/main/java/martenloom/edge/lifecycle/Readiness.java
+++ b/edge/src/main/java/martenloom/edge/lifecycle/Readiness.java
@@ -6,6 +6,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
+import martenloom.common.callers.Callers;
+import martenloom.common.callers.HttpCallers;
 
 /**
  * Whether this edge is to be sent requests: not before it has a configuration and knows the
@@ -77,16 +79,21 @@
         return true;
     }
 
-    /** Answers the readiness check at an address. */
-    public void listen(Eventloop loop, InetSocketAddress address) throws IOException {
-        HttpServer.builder(
-                        loop,
-                        request ->
-                                HttpResponse.ofCode(isServing() ? OK : UNAVAILABLE)
-                                        .withPlainText(isServing() ? "ready" : "not ready")
-                                        .toPromise())
-                .withListenAddress(address)
-                .build()
-                .listen();
+    /**
+     * Answers the readiness check at an address.
+     *
+     * @param callers the bounds on the connections of those that check
+     */
+    public void listen(Eventloop loop, InetSocketAddress address, Callers callers)
+            throws IOException {
+        var server =
+                HttpServer.builder(
+                                loop,
+                                request ->
+                                        HttpResponse.ofCode(isServing() ? OK : UNAVAILABLE)
+                                                .withPlainText(isServing() ? "ready" : "not ready")
+                                                .toPromise())
+                        .withListenAddress(address);
+        new HttpCallers(callers).bound(server).build().listen();
     }
 }
--- a/launcher/src/test/java/martenloom/launcher/ClientCrowdTest.java
+++ b/launcher/src/test/java/martenloom/launcher/ClientCrowdTest.java
@@ -88,6 +88,16 @@
 
     // ---- the other listeners of an edge
 
+    @Test
+    void silentClientsOfTheReadinessCheck() {
+        readinessServesBeside(CROWD, "");
+    }
+
+    @Test
+    void headsThatDoNotEndAtTheReadinessCheck() {
+        readinessServesBeside(SMALLER_CROWD, controlHeadWithoutEnd("GET /readyz HTTP/1.1\r\n"));
+    }
+
     private void readinessServesBeside(int clients, String sent) {
         var edge = cluster.edge(0);
         assertServedBeside(
