Room for each new caller of an edge, in one account with heads and buffers

Callers saw: eight crowds at the listener of clients (heads of short or odd lines, heads and bodies without end, in large and tiny chunks, silence) each shut an ordinary caller out as long as they stayed; at the sizes of the deploy file heads ended the process. Cause: the account knew the bytes of bodies alone; at the bound of connections the newcomer was closed; small bodies that stalled were never ended; a closed connection went on with what was sent ahead on it; the next request began though the last response was not read; a rejected request kept its parsed head. Change: the account of requests counts connections, the capacity of buffers, heads as parsed and bodies. Who is awaited for longest, or has stalled, gives way. Requests sent ahead wait behind those of others (SentAheadRequests). Heads are read without splitting the text by a pattern. ResponseFraming and RequestHandler are taken out of ClientConnection.

--- a/edge/src/main/java/martenloom/edge/EdgeDaemon.java
+++ b/edge/src/main/java/martenloom/edge/EdgeDaemon.java
@@ -202,6 +202,7 @@
     private void listenForClients() throws IOException {
         var server =
                 SimpleServer.builder(loop, socket -> new ClientConnection(loop, socket, dispatcher))
+                        .withAcceptFilter(dispatcher.callers().acceptFilter())
                         .withSocketSettings(SocketSettings.builder().withTcpNoDelay(true).build())
                         .withListenAddress(
                                 IpPort.parse(
--- a/edge/src/main/java/martenloom/edge/dispatch/ClientConnection.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/ClientConnection.java
@@ -2,9 +2,8 @@
 
 import io.activej.eventloop.Eventloop;
 import io.activej.net.socket.tcp.ITcpSocket;
-import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
 import java.util.Optional;
+import martenloom.common.callers.Callers;
 import martenloom.common.clock.Clocks;
 import martenloom.edge.http.ErrorResponse;
 import martenloom.edge.http.HeaderField;
@@ -13,7 +12,6 @@
 import martenloom.edge.http.MessageHead;
 import martenloom.edge.memory.MessageMemory;
 import martenloom.edge.transport.SocketConnection;
-import martenloom.routing.route.ClientLimits;
 
 /**
  * A connection of a client: reads one request at a time, strictly and within the limits of the
@@ -24,29 +22,8 @@
  * HEAD} when its response is written, or {@code CLOSING} if no further request may follow. Runs on
  * the reactor thread.
  */
-public final class ClientConnection implements SocketConnection.Owner, ResponseSink {
-    /** Takes the requests of client connections. */
-    public interface RequestHandler {
-        /** The limits on requests that are in force. */
-        ClientLimits clientLimits();
-
-        /** The account of the bytes of requests. */
-        MessageMemory requestMemory();
-
-        /** The account of the bytes of responses. */
-        MessageMemory responseMemory();
-
-        /** Whether this edge shuts down, so that each connection is closed behind its response. */
-        boolean closesConnections();
-
-        void onOpened(ClientConnection client);
-
-        void onRequest(ClientConnection client, MessageHead head, byte[] body);
-
-        /** The connection is closed; called once. */
-        void onClosed(ClientConnection client);
-    }
-
+public final class ClientConnection
+        implements SocketConnection.Owner, ResponseSink, Callers.Connection {
     private enum State {
         HEAD,
         BODY,
@@ -56,6 +33,15 @@
 
     private static final int MAX_BUFFERED_BYTES = 1 << 17;
 
+    /** Beyond this no more is read while a request is in flight. */
+    private static final int MAX_READ_AHEAD_BYTES = 4 << 10;
+
+    /** The objects of a connection, in this process and for its socket. */
+    private static final int CONNECTION_BYTES = 2 << 10;
+
+    /** A client of which nothing came for so long has stalled. */
+    private static final long STALLED_US = 1_000_000;
+
     /** The shortest end of a head that may stand behind other bytes of it: CR LF CR. */
     private static final int HEAD_END_LOOK_BACK = 3;
 
@@ -80,14 +66,12 @@
     private static final long MAX_MEMORY_WAIT_US = 1_000_000;
 
     private static final String MEMORY_RETRY_AFTER_S = "1";
-
-    private static final byte[] CONTINUE =
-            "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
-    private static final byte[] LAST_CHUNK = "0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
+    private static final MessageHead NO_HEAD = MessageHead.newRequest("", "");
 
     private final SocketConnection socket;
     private final RequestHandler handler;
     private final Eventloop loop;
+    private final Callers.Caller caller;
     private State state = State.HEAD;
 
     /** When the present state began, or the head was read. */
@@ -96,16 +80,25 @@
     /** The first byte of the request that is being read; 0 while none has come. */
     private long firstByteUs;
 
+    private long lastBytesUs = Clocks.nowUs();
+
     // ---- the request being read or in flight
 
-    private MessageHead head = MessageHead.newRequest("", "");
+    private MessageHead head = NO_HEAD;
     private final RequestBody body;
 
+    /** What the head takes of the heap. */
+    private int headBytes;
+
     /** Whether the request was rejected and the rest of its body is passed over. */
     private boolean unreadBodyPassedOver;
 
     private long requestBeganUs;
     private boolean closeAfterResponse;
+
+    /** Whether what was read ahead of the last response waits for its turn. */
+    private boolean sentAhead;
+
     private Optional<Request> request = Optional.empty();
 
     /** What is on its way to the client, as it counts in the account of responses. */
@@ -117,6 +110,8 @@
         this.handler = handler;
         socket = new SocketConnection(tcpSocket, MAX_BUFFERED_BYTES, this);
         body = new RequestBody(socket, loop, handler::requestMemory, this::onRoom);
+        caller = handler.callers().open(this);
+        count();
         handler.onOpened(this);
         socket.start();
     }
@@ -148,6 +143,14 @@
 
     @Override
     public void onBytes() {
+        lastBytesUs = Clocks.nowUs();
+        readOn();
+    }
+
+    private void readOn() {
+        if (!socket.isOpen()) {
+            return;
+        }
         if (firstByteUs == 0) {
             firstByteUs = Clocks.nowUs();
         }
@@ -156,6 +159,9 @@
         } catch (MalformedMessageException e) {
             reject(e.status());
         }
+        if (!count()) {
+            refuse();
+        }
     }
 
     /** Reads on in the present state; false when more bytes are needed or none are wanted now. */
@@ -168,7 +174,15 @@
         };
     }
 
+    private void readSentAhead() {
+        sentAhead = false;
+        readOn();
+    }
+
     private boolean readHead() {
+        if (sentAhead || socket.unsentBytes() > 0) {
+            return false; // it is not its turn, or the client is to read the last response first
+        }
         skipBlankLines();
         var start = socket.position();
         var end = MessageHead.endOf(socket.buffer(), start + HEAD_END_LOOK_BACK, socket.limit());
@@ -216,10 +230,15 @@
         closeAfterResponse = head.closesConnection();
         body.begin(length);
         state = State.BODY;
+        headBytes = head.retainedBytes();
+        if (!count()) {
+            refuse();
+            return;
+        }
         if (head.get(HeaderField.EXPECT).equalsIgnoreCase("100-continue")
                 && length != 0
                 && socket.available() == 0) {
-            socket.write(CONTINUE);
+            socket.write(ResponseFraming.continueReading());
         }
         if (length == 0) {
             finishRequest();
@@ -228,6 +247,9 @@
 
     private boolean readBody() {
         var allTaken = body.read(handler.clientLimits().maxBodyBytes());
+        if (!allTaken && body.isSmall()) {
+            handler.callers().makeRoom(MessageMemory.SMALL_BYTES, caller);
+        }
         if (body.isComplete()) {
             finishRequest();
         }
@@ -235,13 +257,15 @@
     }
 
     private void onRoom() {
-        if (state == State.BODY && socket.isOpen()) {
-            onBytes();
+        if (state == State.BODY) {
+            readOn();
         }
     }
 
     private void finishRequest() {
         state = State.IN_FLIGHT;
+        caller.serve();
+        socket.limitReadAhead(MAX_READ_AHEAD_BYTES);
         var complete = body.finish();
         firstByteUs = socket.available() > 0 ? Clocks.nowUs() : 0;
         handler.onRequest(this, head, complete);
@@ -249,33 +273,32 @@
 
     /** Answers a request that was not read to its end, and closes behind the answer. */
     private void reject(int status) {
+        reject(ErrorResponse.head(status));
+    }
+
+    private void reject(byte[] responseHead) {
         closeAfterResponse = true;
         state = State.IN_FLIGHT;
-        respond(ErrorResponse.head(status), ErrorResponse.noBody());
+        respond(responseHead, ErrorResponse.noBody());
     }
 
     // ---- writing
 
     @Override
     public void respond(byte[] responseHead, byte[] responseBody) {
-        var framed = withFraming(responseHead, "Content-Length: " + responseBody.length + "\r\n");
+        var framed = withFraming(responseHead, ResponseFraming.length(responseBody.length));
         socket.write(framed, responseBody);
         beginNext();
     }
 
     @Override
     public void beginStream(byte[] responseHead) {
-        socket.write(withFraming(responseHead, "Transfer-Encoding: chunked\r\n"));
+        socket.write(withFraming(responseHead, ResponseFraming.CHUNKED));
     }
 
     private byte[] withFraming(byte[] responseHead, String framing) {
         closeAfterResponse |= handler.closesConnections();
-        var rest =
-                (framing + (closeAfterResponse ? "Connection: close\r\n" : "") + "\r\n")
-                        .getBytes(StandardCharsets.ISO_8859_1);
-        var framed = Arrays.copyOf(responseHead, responseHead.length + rest.length);
-        System.arraycopy(rest, 0, framed, responseHead.length, rest.length);
-        return framed;
+        return ResponseFraming.head(responseHead, framing, closeAfterResponse);
     }
 
     @Override
@@ -283,25 +306,19 @@
         if (events.length == 0) {
             return;
         }
-        var size =
-                (Integer.toHexString(events.length) + "\r\n").getBytes(StandardCharsets.ISO_8859_1);
-        var chunk = Arrays.copyOf(size, size.length + events.length + 2);
-        System.arraycopy(events, 0, chunk, size.length, events.length);
-        chunk[chunk.length - 2] = '\r';
-        chunk[chunk.length - 1] = '\n';
-        socket.write(chunk);
+        socket.write(ResponseFraming.chunk(events));
     }
 
     @Override
     public void endStream() {
-        socket.write(LAST_CHUNK);
+        socket.write(ResponseFraming.lastChunk());
         beginNext();
     }
 
     @Override
     public void abortStream() {
         state = State.CLOSING;
-        body.release();
+        releaseRequest();
         detachRequest();
         socket.closeWhenSent();
         Clocks.after(loop, ABORT_FLUSH_US, socket::close);
@@ -317,21 +334,78 @@
         if (socket.isOpen()) {
             unsentInAccount += change;
             handler.responseMemory().hold(change, Clocks.nowUs());
+            if (socket.unsentBytes() == 0 && state == State.HEAD && socket.available() > 0) {
+                loop.post(this::readOn);
+            }
         }
     }
 
     private void beginNext() {
-        body.release();
+        releaseRequest();
         detachRequest();
         sinceUs = Clocks.nowUs();
+        caller.await();
+        count();
         if (closeAfterResponse) {
             state = State.CLOSING;
             socket.closeWhenSent();
             return;
         }
         state = State.HEAD;
+        socket.limitReadAhead(MAX_BUFFERED_BYTES);
         if (socket.available() > 0) {
-            loop.post(this::onBytes);
+            sentAhead = true;
+            handler.onSentAhead(this::readSentAhead);
+        }
+    }
+
+    private void releaseRequest() {
+        body.release();
+        head = NO_HEAD;
+        headBytes = 0;
+    }
+
+    // ---- bounds
+
+    /** Counts what is held apart from the bytes of the body; whether that is within the bound. */
+    private boolean count() {
+        return caller.hold(
+                (long) CONNECTION_BYTES + socket.bufferBytes() + headBytes + body.unusedBytes());
+    }
+
+    @Override
+    public long heldBytes() {
+        return (long) CONNECTION_BYTES + socket.bufferBytes() + headBytes + body.bufferBytes();
+    }
+
+    /** Whether the body of the request waits for memory. */
+    boolean waitsForMemory() {
+        return state == State.BODY && body.waitsForMemory();
+    }
+
+    @Override
+    public boolean isStalled(long nowUs) {
+        var owesBytes =
+                state == State.HEAD && socket.available() > 0
+                        || state == State.BODY && !body.waitsForMemory();
+        return owesBytes && nowUs - lastBytesUs > STALLED_US;
+    }
+
+    @Override
+    public void refuse() {
+        switch (state) {
+            case HEAD -> refuseHead();
+            case BODY -> rejectForMemory();
+            case CLOSING -> close();
+            case IN_FLIGHT -> {}
+        }
+    }
+
+    private void refuseHead() {
+        if (socket.available() == 0 || socket.unsentBytes() > 0) {
+            close();
+        } else {
+            reject(ErrorResponse.head(HttpStatus.SERVICE_UNAVAILABLE, MEMORY_RETRY_AFTER_S));
         }
     }
 
@@ -342,7 +416,7 @@
         var ageUs = nowUs - sinceUs;
         switch (state) {
             case HEAD -> {
-                if (socket.available() == 0) {
+                if (socket.available() == 0 || socket.unsentBytes() > 0) {
                     closeIf(ageUs > maxIdleUs());
                 } else {
                     var headAgeUs = nowUs - Math.max(sinceUs, firstByteUs);
@@ -368,14 +442,14 @@
      * or the end of {@link #MAX_CLOSING_US}, so that the response is not lost by a reset.
      */
     private void rejectForMemory() {
-        body.release();
+        releaseRequest();
         closeAfterResponse = true;
         unreadBodyPassedOver = true;
         var responseHead = ErrorResponse.head(HttpStatus.SERVICE_UNAVAILABLE, MEMORY_RETRY_AFTER_S);
-        socket.write(withFraming(responseHead, "Content-Length: 0\r\n"));
+        socket.write(withFraming(responseHead, ResponseFraming.length(0)));
         state = State.CLOSING;
         sinceUs = Clocks.nowUs();
-        onBytes();
+        readOn();
     }
 
     private long maxIdleUs() {
@@ -402,13 +476,16 @@
 
     @Override
     public void onClosed() {
-        body.release();
+        releaseRequest();
+        socket.releaseBuffer();
+        caller.close();
         handler.responseMemory().hold(-unsentInAccount, Clocks.nowUs());
         unsentInAccount = 0;
         handler.onClosed(this);
     }
 
-    void close() {
+    @Override
+    public void close() {
         socket.close();
     }
 }
--- a/edge/src/main/java/martenloom/edge/dispatch/RequestBody.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/RequestBody.java
@@ -128,6 +128,26 @@
         return complete;
     }
 
+    /** What its buffer takes of the heap. */
+    int bufferBytes() {
+        return bytes.capacity();
+    }
+
+    /** What its buffer takes beyond the bytes that the account of requests counts. */
+    int unusedBytes() {
+        return bytes.capacity() - bytes.length();
+    }
+
+    /** Whether it waits for memory, so that its client cannot be blamed for a pause. */
+    boolean waitsForMemory() {
+        return waitingForMemorySinceUs > 0;
+    }
+
+    /** Whether it is one that does not wait behind large ones. */
+    boolean isSmall() {
+        return bytesLeft + bytes.length() <= MessageMemory.SMALL_BYTES;
+    }
+
     /** Whether it has waited for memory for longer than this. */
     boolean waitsForMemoryLongerThan(long limitUs, long nowUs) {
         return waitingForMemorySinceUs > 0 && nowUs - waitingForMemorySinceUs > limitUs;
--- a/edge/src/main/java/martenloom/edge/dispatch/RequestDispatcher.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/RequestDispatcher.java
@@ -4,6 +4,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import martenloom.common.callers.CallerBounds;
+import martenloom.common.callers.Callers;
 import martenloom.common.clock.Clocks;
 import martenloom.common.fleet.ReplicaRecord;
 import martenloom.common.load.LoadSummary;
@@ -26,7 +28,7 @@
  * RetryPolicy} decides what follows an attempt, and {@link RequestCompletion} ends it. Runs on the
  * reactor thread.
  */
-public final class RequestDispatcher implements ClientConnection.RequestHandler, RoutingView {
+public final class RequestDispatcher implements RequestHandler, RoutingView {
     private final Settings settings;
     private final ReplicaTable replicaTable;
     private final PrefixOwners prefixOwners = new PrefixOwners();
@@ -35,13 +37,15 @@
     private final ShutdownAdmissionPolicy shutdownPolicy = new ShutdownAdmissionPolicy();
     private final OverloadReduction overload = new OverloadReduction(overloadReports);
     private final MemoryAccounts memory;
-    private final ClientConnections clients;
+    private final Callers callers;
+    private final ClientConnections clients = new ClientConnections();
     private final ClusterView cluster;
     private final CandidateFilter filter;
     private final StallDetector stallDetector;
     private final RequestCompletion completion;
     private final RequestAdmission admission;
     private final RequestScheduler scheduler;
+    private final SentAheadRequests sentAhead;
     private boolean closesConnections;
 
     /** A dispatcher without routes and replicas; both come from the core. */
@@ -49,7 +53,11 @@
         this.settings = settings;
         this.replicaTable = replicaTable;
         memory = MemoryAccounts.of(settings);
-        clients = new ClientConnections(loop, settings.maxFileDescriptors());
+        callers =
+                Callers.at(
+                        loop,
+                        CallerBounds.ofEdge(settings).connections(),
+                        memory.requests().account());
         cluster = new ClusterView(replicaTable);
         filter = new CandidateFilter(settings, replicaTable, cluster);
         stallDetector = new StallDetector(cluster);
@@ -76,6 +84,12 @@
                                         shutdownPolicy,
                                         memory.responses(),
                                         owner));
+        sentAhead = new SentAheadRequests(loop, scheduler::anyWaiting);
+    }
+
+    @Override
+    public void onSentAhead(Runnable goOn) {
+        sentAhead.add(goOn);
     }
 
     // ---- what it shares
@@ -182,6 +196,11 @@
         return table().limits();
     }
 
+    @Override
+    public Callers callers() {
+        return callers;
+    }
+
     @Override
     public void onOpened(ClientConnection client) {
         clients.add(client);
@@ -260,6 +279,7 @@
     public void tick() {
         var now = Clocks.nowUs();
         scheduler.drainQueues(now);
+        sentAhead.tick();
         for (var replica : replicaTable.active()) {
             stallDetector.check(replica, now);
         }
@@ -269,6 +289,9 @@
     public void sweep() {
         var now = Clocks.nowUs();
         clients.enforceTimeouts(now);
+        if (clients.anyWaitsForMemory()) {
+            callers.refuseStalled(now);
+        }
         memory.requests().offerRoom(now);
         memory.responses().offerRoom(now);
         for (var replica : replicaTable.all()) {
--- a/edge/src/main/java/martenloom/edge/dispatch/RequestScheduler.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/RequestScheduler.java
@@ -106,6 +106,11 @@
         }
     }
 
+    /** Whether any request waits for a replica. */
+    boolean anyWaiting() {
+        return queues.anyWaiting();
+    }
+
     /** Offers what is queued again. */
     void drainQueues(long nowUs) {
         queues.drain(nowUs);
--- a/edge/src/main/java/martenloom/edge/http/MessageHead.java
+++ b/edge/src/main/java/martenloom/edge/http/MessageHead.java
@@ -37,6 +37,12 @@
     private static final int USUAL_FIELDS = 16;
     private static final int USUAL_BYTES = 256;
 
+    /** The objects of one field, or of one item of a list, in a head and in a copy of it. */
+    private static final int ITEM_BYTES = 128;
+
+    /** A head that was read is held, and so is a copy of it that is sent. */
+    private static final int COPIES = 2;
+
     /** Fields that concern one connection and the framing, and are never forwarded. */
     private static final Set<String> HOP_BY_HOP =
             Set.of(
@@ -60,6 +66,9 @@
     /** The version of a request, or the reason phrase of a response. */
     private final String thirdWord;
 
+    /** See {@link #retainedBytes()}. */
+    private int retainedBytes;
+
     private final List<String> names = new ArrayList<>(USUAL_FIELDS);
     private final List<String> values = new ArrayList<>(USUAL_FIELDS);
 
@@ -126,18 +135,35 @@
 
     private static MessageHead read(byte[] buffer, int from, int end) {
         var text = new String(buffer, from, end - from - END_BYTES, StandardCharsets.ISO_8859_1);
-        var lines = text.split(CRLF, -1);
-        var words = lines[0].split(" ", START_LINE_WORDS);
+        var lineEnd = endOfLine(text, 0);
+        var words = text.substring(0, lineEnd).split(" ", START_LINE_WORDS);
         if (words.length < 2) {
             throw new MalformedMessageException(HttpStatus.BAD_REQUEST, "start line");
         }
         var head = new MessageHead(words[0], words[1], words.length > 2 ? words[2] : "");
-        for (var i = 1; i < lines.length; i++) {
-            head.readField(lines[i]);
+        while (lineEnd < text.length()) {
+            var lineStart = lineEnd + CRLF.length();
+            lineEnd = endOfLine(text, lineStart);
+            head.readField(text.substring(lineStart, lineEnd));
         }
+        head.retainedBytes = retainedBytes(text, head.names.size());
         return head;
     }
 
+    private static int endOfLine(String text, int from) {
+        var end = text.indexOf(CRLF, from);
+        return end < 0 ? text.length() : end;
+    }
+
+    /** Counts each field, and each item of a list that a field may be read as. */
+    private static int retainedBytes(String text, int fields) {
+        var items = fields;
+        for (var comma = text.indexOf(','); comma >= 0; comma = text.indexOf(',', comma + 1)) {
+            items++;
+        }
+        return COPIES * text.length() + ITEM_BYTES * items;
+    }
+
     private void readField(String line) {
         var colon = line.indexOf(':');
         if (colon < 1 || !isToken(line.substring(0, colon))) {
@@ -179,6 +205,11 @@
         return true;
     }
 
+    /** What a head that was read takes of the heap while its request is open; 0 for a new one. */
+    public int retainedBytes() {
+        return retainedBytes;
+    }
+
     // ---- the start line
 
     /** The method of a request. */
--- a/edge/src/main/java/martenloom/edge/memory/MessageMemory.java
+++ b/edge/src/main/java/martenloom/edge/memory/MessageMemory.java
@@ -3,6 +3,8 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import martenloom.common.callers.MemoryAccount;
+import martenloom.common.clock.Clocks;
 
 /**
  * The account of the bytes of requests, or of responses, that this edge holds: one bound for all
@@ -19,7 +21,7 @@
  */
 public final class MessageMemory {
     /** A body up to this size is small. */
-    static final int SMALL_BYTES = 16 << 10;
+    public static final int SMALL_BYTES = 16 << 10;
 
     /** The part of the memory that large bodies may take together. */
     private static final double LARGE_SHARE = 0.875;
@@ -27,14 +29,24 @@
     /** Nothing is left free any more for a body of which nothing came for so long. */
     static final long STALLED_US = 1_000_000;
 
-    private final long capacityBytes;
+    private final MemoryAccount account;
     private final Set<Reservation> inOrderOfArrival = new LinkedHashSet<>();
-    private long heldBytes;
     private int waitingCount;
 
     /** An account of so many bytes. */
     public MessageMemory(long capacityBytes) {
-        this.capacityBytes = capacityBytes;
+        this(new MemoryAccount(capacityBytes));
+    }
+
+    /** Messages that count in an account of which others hold a part. */
+    public MessageMemory(MemoryAccount account) {
+        this.account = account;
+        account.addRoomListener(() -> offerRoom(Clocks.nowUs()));
+    }
+
+    /** The account in which the messages count. */
+    public MemoryAccount account() {
+        return account;
     }
 
     /**
@@ -49,14 +61,14 @@
         return reservation;
     }
 
-    /** The bytes that are held by all reservations, and without one. */
+    /** The bytes that are held, by messages and by others. */
     public long heldBytes() {
-        return heldBytes;
+        return account.heldBytes();
     }
 
     /** Whether large bodies find no room. */
     public boolean isFull() {
-        return heldBytes >= largeCapacityBytes();
+        return account.heldBytes() >= largeCapacityBytes();
     }
 
     /**
@@ -65,7 +77,7 @@
      * @param change how many more bytes are held; fewer when it is negative
      */
     public void hold(int change, long nowUs) {
-        heldBytes += change;
+        account.count(change);
         if (change < 0) {
             offerRoom(nowUs);
         }
@@ -97,14 +109,14 @@
     }
 
     private long largeCapacityBytes() {
-        return (long) (capacityBytes * LARGE_SHARE);
+        return (long) (account.capacityBytes() * LARGE_SHARE);
     }
 
     private long roomFor(Reservation asking, long nowUs) {
         if (asking.isSmall()) {
-            return capacityBytes - heldBytes;
+            return account.capacityBytes() - account.heldBytes();
         }
-        var room = largeCapacityBytes() - heldBytes;
+        var room = largeCapacityBytes() - account.heldBytes();
         for (var older : inOrderOfArrival) {
             if (older == asking || room <= 0) {
                 break;
@@ -154,7 +166,7 @@
 
         private void count(int bytes, long nowUs) {
             takenBytes += bytes;
-            heldBytes += bytes;
+            account.count(bytes);
             lastTakenUs = bytes > 0 ? nowUs : lastTakenUs;
         }
 
@@ -176,7 +188,7 @@
         public void close(long nowUs) {
             if (inOrderOfArrival.remove(this)) {
                 setWaiting(false);
-                heldBytes -= takenBytes;
+                account.count(-takenBytes);
                 offerRoom(nowUs);
             }
         }
--- a/edge/src/main/java/martenloom/edge/transport/SocketConnection.java
+++ b/edge/src/main/java/martenloom/edge/transport/SocketConnection.java
@@ -30,9 +30,10 @@
     }
 
     private static final int INITIAL_BUFFER_BYTES = 512;
+    private static final byte[] NOTHING = new byte[0];
 
     /** A buffer that grew past this is given up as soon as it is empty. */
-    private static final int RETAINED_BUFFER_BYTES = 65_536;
+    private static final int RETAINED_BUFFER_BYTES = 4_096;
 
     /** A body up to this size is copied behind its head, so that both go out at once. */
     private static final int COPIED_BODY_BYTES = 16 << 10;
@@ -42,7 +43,7 @@
     private final SocketReader reader;
 
     /** No more is read while this many bytes wait to be consumed. */
-    private final int maxBufferedBytes;
+    private int maxBufferedBytes;
 
     private boolean open = true;
     private boolean readingPaused;
@@ -94,6 +95,11 @@
         return limit;
     }
 
+    /** The bytes that the buffer takes of the heap, whatever is in it. */
+    public int bufferBytes() {
+        return buffer.length;
+    }
+
     /** Bytes that came and are not consumed. */
     public int available() {
         return limit - position;
@@ -114,6 +120,22 @@
         }
     }
 
+    /** Drops what came and gives the buffer up, on a connection that is closed. */
+    public void releaseBuffer() {
+        buffer = NOTHING;
+        position = 0;
+        limit = 0;
+    }
+
+    /** From now on no more is read while this many bytes wait to be consumed. */
+    public void limitReadAhead(int newMaxBufferedBytes) {
+        var wasFull = available() >= maxBufferedBytes;
+        maxBufferedBytes = newMaxBufferedBytes;
+        if (wasFull && wantsMore()) {
+            Reactor.getCurrentReactor().post(reader::readWhileWanted);
+        }
+    }
+
     /** Stops or resumes reading, so that the other side is slowed down by TCP's flow control. */
     public void pauseReading(boolean paused) {
         readingPaused = paused;
--- a/edge/src/test/java/martenloom/edge/dispatch/ClientConnectionTest.java
+++ b/edge/src/test/java/martenloom/edge/dispatch/ClientConnectionTest.java
@@ -9,6 +9,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import martenloom.common.callers.Callers;
+import martenloom.common.callers.MemoryAccount;
 import martenloom.common.clock.Clocks;
 import martenloom.edge.http.ErrorResponse;
 import martenloom.edge.http.MessageHead;
@@ -32,15 +34,21 @@
     private final MessageMemory responses = new MessageMemory(MEMORY_BYTES);
     private boolean shutdown;
     private Eventloop loop;
+    private Callers callers;
     private ClientConnection connection;
 
-    private final ClientConnection.RequestHandler handler =
-            new ClientConnection.RequestHandler() {
+    private final RequestHandler handler =
+            new RequestHandler() {
                 @Override
                 public ClientLimits clientLimits() {
                     return LIMITS;
                 }
 
+                @Override
+                public Callers callers() {
+                    return callers;
+                }
+
                 @Override
                 public MessageMemory requestMemory() {
                     return memory;
@@ -66,6 +74,11 @@
                     events.add(head.path() + " " + new String(body, StandardCharsets.ISO_8859_1));
                 }
 
+                @Override
+                public void onSentAhead(Runnable goOn) {
+                    loop.post(goOn);
+                }
+
                 @Override
                 public void onClosed(ClientConnection client) {
                     events.add("closed");
@@ -75,6 +88,7 @@
     @BeforeEach
     void connect() {
         loop = Eventloop.builder().withCurrentThread().build();
+        callers = Callers.at(loop, 1, new MemoryAccount(Integer.MAX_VALUE));
         connection = new ClientConnection(loop, socket, handler);
         events.clear();
     }
@@ -90,6 +104,34 @@
         assertEquals(List.of("/path ab", "/path cd"), events);
     }
 
+    /**
+     * Guards against responses that pile up since the next request is begun before they are read.
+     */
+    @Test
+    void aFurtherRequestIsBegunWhenTheLastResponseHasGoneOut() {
+        var request = HEAD + "Content-Length: 2\r\n\r\n";
+        var sent = socket.holdWrites();
+        socket.receive(request + "ab" + request + "cd");
+        connection.respond(
+                "HTTP/1.1 200 OK\r\n".getBytes(StandardCharsets.ISO_8859_1), new byte[0]);
+        loop.run();
+        assertEquals(List.of("/path ab"), events);
+        sent.set(null);
+        loop.run();
+        assertEquals(List.of("/path ab", "/path cd"), events);
+    }
+
+    /** Guards against requests that run though their client has gone. */
+    @Test
+    void whatWasSentAheadEndsWithTheConnection() {
+        socket.receive(HEAD + "\r\n" + HEAD + "\r\n");
+        connection.respond(
+                "HTTP/1.1 200 OK\r\n".getBytes(StandardCharsets.ISO_8859_1), new byte[0]);
+        connection.close();
+        loop.run();
+        assertEquals(List.of("/path ", "closed"), events);
+    }
+
     @Test
     void chunkedBodiesAreTakenTogether() {
         socket.receive(HEAD + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n");
--- a/launcher/src/test/java/martenloom/launcher/ClientCrowdTest.java
+++ b/launcher/src/test/java/martenloom/launcher/ClientCrowdTest.java
@@ -81,6 +81,48 @@
 
     // ---- requests at an edge
 
+    @Test
+    void headsOfManyShortLinesWithBodiesAByteShort() {
+        var lines = "a:\r\n".repeat((HEAD_BYTES - 200) / 4);
+        edgeServesBeside(SMALLER_CROWD, EDGE_HEAD + lines + shortBody(100));
+    }
+
+    @Test
+    void headsOfManyOddLinesWithBodiesAByteShort() {
+        var lines = "~!#$%&'*:\t \t\r\nX-Odd: \r\n".repeat((HEAD_BYTES - 200) / 24);
+        edgeServesBeside(SMALLER_CROWD, EDGE_HEAD + lines + shortBody(100));
+    }
+
+    @Test
+    void headsThatDoNotEnd() {
+        edgeServesBeside(CROWD, EDGE_HEAD + "a:\r\n".repeat((HEAD_BYTES - 200) / 4));
+    }
+
+    @Test
+    void largeBodiesAByteShort() {
+        edgeServesBeside(SMALLER_CROWD, EDGE_HEAD + shortBody(BODY_BYTES));
+    }
+
+    @Test
+    void smallBodiesAByteShort() {
+        edgeServesBeside(CROWD, EDGE_HEAD + shortBody(SMALL_BODY_BYTES));
+    }
+
+    @Test
+    void bodiesInLargeChunksWithoutTheLast() {
+        edgeServesBeside(SMALLER_CROWD, EDGE_HEAD + largeChunks(BODY_BYTES));
+    }
+
+    @Test
+    void bodiesInTinyChunksWithoutTheLast() {
+        edgeServesBeside(SMALLER_CROWD, EDGE_HEAD + tinyChunks());
+    }
+
+    @Test
+    void silentClientsOfAnEdge() {
+        edgeServesBeside(CROWD, "");
+    }
+
     private void edgeServesBeside(int clients, String sent) {
         var edge = cluster.edge(0);
         assertServedBeside(cluster.front(0), clients, sent, edge, each -> each.answersAtEdge(0));
