JSON is counted before it is parsed

Callers saw: one body of 60,000 nested arrays ended a core daemon (StackOverflowError); lists of three million numbers ended it or left callers unanswered (OutOfMemoryError). Cause: the parser descends by recursion and takes some 400 bytes a value. Change: JsonCost refuses with 400 beyond 64 levels, or beyond the values that a third of the heap can hold.

--- /dev/null
+++ b/core/src/main/java/martenloom/core/api/JsonCost.java
@@ -0,0 +1,66 @@
+package martenloom.core.api;
+
+import java.util.Optional;
+
+/**
+ * What a text would cost to parse as JSON: its values become many times as large as the text, and
+ * each level of nesting takes the stack of the reactor thread. Counts without parsing.
+ */
+final class JsonCost {
+    /** Far deeper than any document of the API. */
+    private static final int MAX_DEPTH = 64;
+
+    /** The heap that a parsed value or name takes for a moment, with its tokens. */
+    private static final int BYTES_PER_ITEM = 400;
+
+    /** What one parsed document may take of the heap. */
+    private static final long MAX_PARSED_BYTES = Runtime.getRuntime().maxMemory() / 3;
+
+    private static final long MAX_ITEMS = MAX_PARSED_BYTES / BYTES_PER_ITEM;
+
+    private int depth;
+    private int deepest;
+    private long items;
+
+    private JsonCost() {}
+
+    /** Why a text is not to be parsed, if so. */
+    static Optional<String> refusalOf(String text) {
+        var cost = new JsonCost();
+        cost.count(text);
+        if (cost.deepest > MAX_DEPTH) {
+            return Optional.of("the body is nested deeper than " + MAX_DEPTH);
+        }
+        if (cost.items > MAX_ITEMS) {
+            return Optional.of("the body has more than " + MAX_ITEMS + " values");
+        }
+        return Optional.empty();
+    }
+
+    private void count(String text) {
+        var inString = false;
+        for (var i = 0; i < text.length(); i++) {
+            var character = text.charAt(i);
+            if (character == '"') {
+                inString = !inString;
+            } else if (inString && character == '\\') {
+                i++;
+            } else if (!inString) {
+                countOutsideStrings(character);
+            }
+        }
+    }
+
+    private void countOutsideStrings(char character) {
+        switch (character) {
+            case '[', '{' -> {
+                depth++;
+                deepest = Math.max(deepest, depth);
+                items++;
+            }
+            case ']', '}' -> depth--;
+            case ',', ':' -> items++;
+            default -> {}
+        }
+    }
+}
--- a/core/src/main/java/martenloom/core/api/RequestBodies.java
+++ b/core/src/main/java/martenloom/core/api/RequestBodies.java
@@ -19,7 +19,7 @@
 /**
  * Reads the bodies of calls. Their bytes count as they come, until the call is answered, at a
  * {@link BodyHolder}. A call whose body finds no room is refused with 503 and its connection
- * closed. Runs on the reactor thread.
+ * closed, and so is, with a 4xx, one that would take too much to parse. Runs on the reactor thread.
  */
 final class RequestBodies {
     /** The longest body that is read. */
@@ -108,8 +108,7 @@
             if (piece == null) {
                 timeout.ifPresent(ReactorTimer::cancel);
                 holder.serve();
-                service.apply(new String(body.complete(), StandardCharsets.UTF_8))
-                        .subscribe(response::set);
+                serve(new String(body.complete(), StandardCharsets.UTF_8));
                 return true;
             }
             append(piece);
@@ -129,6 +128,15 @@
             }
         }
 
+        private void serve(String text) {
+            var refusal = JsonCost.refusalOf(text);
+            if (refusal.isPresent()) {
+                refuse(HttpStatus.BAD_REQUEST, refusal.get());
+            } else {
+                service.apply(text).subscribe(response::set);
+            }
+        }
+
         private void refuse(int status, String reason) {
             response.trySet(
                     HttpResponse.ofCode(status)
--- a/launcher/src/test/java/martenloom/launcher/ClientCrowdTest.java
+++ b/launcher/src/test/java/martenloom/launcher/ClientCrowdTest.java
@@ -200,6 +200,18 @@
         coreServesBeside(SMALLER_CROWD, call.repeat(REQUESTS_AHEAD));
     }
 
+    @Test
+    void bodiesOfDeeplyNestedJson() {
+        var body = "{\"Body\":" + "[".repeat(NESTED_ARRAYS);
+        coreServesBeside(LARGE_SENDERS, JOB_HEAD + wholeBody(body));
+    }
+
+    @Test
+    void bodiesOfLongJsonLists() {
+        var body = "{\"Body\":[" + "0,".repeat(LIST_ITEMS) + "0]}";
+        coreServesBeside(LARGE_SENDERS, JOB_HEAD + wholeBody(body));
+    }
+
     private void coreServesBeside(int clients, String sent) {
         var core = cluster.core(0);
         assertServedBeside(
