Requests with one attempt id no longer pile up connections to replicas

Callers saw: clients with requests sent ahead made an edge open 2,079 of 600 descriptors, so that later connections failed. Cause: a connection is not used for the id that it has just carried; each further request with that id opened another, and left it idle. Change: where all idle connections have carried this id, one is closed before another is opened.

--- a/edge/src/main/java/martenloom/edge/replica/ConnectionPool.java
+++ b/edge/src/main/java/martenloom/edge/replica/ConnectionPool.java
@@ -56,14 +56,17 @@
 
     /**
      * Takes an idle connection on which a request may go out; those that have become useless are
-     * closed on the way.
+     * closed on the way. Where all that are idle have last carried this very request, one of them
+     * is closed, so that they make room for the one that will be opened.
      *
      * @param trustUs how long a connection may have been idle
      */
     public Optional<ReplicaConnection> takeIdle(String requestId, long trustUs, long now) {
+        Optional<ReplicaConnection> unsuited = Optional.empty();
         for (var i = idle.iterator(); i.hasNext(); ) {
             var connection = i.next();
             if (connection.lastCarried(requestId)) {
+                unsuited = Optional.of(connection);
                 continue;
             }
             i.remove();
@@ -72,6 +75,7 @@
             }
             connection.close();
         }
+        unsuited.ifPresent(ReplicaConnection::close);
         return Optional.empty();
     }
 
--- a/launcher/src/test/java/martenloom/launcher/ClientCrowdTest.java
+++ b/launcher/src/test/java/martenloom/launcher/ClientCrowdTest.java
@@ -118,6 +118,12 @@
         edgeServesBeside(SMALLER_CROWD, EDGE_HEAD + tinyChunks());
     }
 
+    @Test
+    void requestsSentAheadWhoseResponsesAreNotRead() {
+        var request = EDGE_HEAD + "Content-Length: 1\r\n\r\np";
+        edgeServesBeside(SMALLER_CROWD, request.repeat(REQUESTS_AHEAD));
+    }
+
     @Test
     void silentClientsOfAnEdge() {
         edgeServesBeside(CROWD, "");
