Long names of prompt parts, pooled buffers and an early SIGHUP

Three small causes found on the way. Names of parts of prompts are remembered per replica beyond the request: longer ones than 128 letters are left out. The pool of buffers keeps the largest number of each length for good: lengths from 32 KiB on are not pooled.

--- a/edge/src/main/java/martenloom/edge/replica/Prompt.java
+++ b/edge/src/main/java/martenloom/edge/replica/Prompt.java
@@ -11,6 +11,9 @@
     /** From this size on, shared segments belong to one replica, so that each is read once. */
     public static final int LARGE_SHARED_TOKENS = 1000;
 
+    /** A longer name is left out; the names of segments are remembered beyond the request. */
+    private static final int MAX_NAME_LETTERS = 128;
+
     private final String[] segments;
     private final int[] segmentTokens;
     private final int count;
@@ -31,7 +34,7 @@
         for (var part : parts) {
             var colon = part.lastIndexOf(':');
             var size =
-                    colon < 1
+                    colon < 1 || colon > MAX_NAME_LETTERS
                             ? HeaderField.NOT_A_NUMBER
                             : HeaderField.parseNumber(part.substring(colon + 1));
             if (size >= 0) {
--- a/launcher/src/main/java/martenloom/launcher/RoleRunner.java
+++ b/launcher/src/main/java/martenloom/launcher/RoleRunner.java
@@ -23,12 +23,19 @@
     private static final String EDGE = "edge";
     private static final String SCALING_OPTION = "--scaling";
     private static final int ARGUMENTS_WITH_SCALING = 3;
+    private static final String POOL_PROPERTY = "ByteBufPool.maxSize";
+
+    /** Longer buffers are not kept for reuse: the pool never gives a buffer back to the heap. */
+    private static final int MAX_POOLED_BYTES = 32 << 10;
+
     private static final String SETTINGS_VARIABLE = "MARTENLOOM_NODE_FILE";
 
     private RoleRunner() {}
 
     /** Starts a role and returns when its event loop has ended. */
     static ExitStatus run(String role, String[] args) {
+        SettingsWatcher.passOverSignals();
+        System.setProperty(POOL_PROPERTY, Integer.toString(MAX_POOLED_BYTES));
         var scaling = parseScaling(role, args);
         var settings =
                 SettingsFile.load(Optional.ofNullable(System.getenv(SETTINGS_VARIABLE)).orElse(""));
--- a/launcher/src/main/java/martenloom/launcher/SettingsWatcher.java
+++ b/launcher/src/main/java/martenloom/launcher/SettingsWatcher.java
@@ -19,6 +19,7 @@
  */
 final class SettingsWatcher {
     private static final long PERIOD_US = 2_000_000;
+    private static final Signal HANG_UP = new Signal("HUP");
 
     private final Settings settings;
     private final Path file;
@@ -41,8 +42,16 @@
         return new SettingsWatcher(settings, file, textOf(file));
     }
 
+    /**
+     * From now on SIGHUP does not end the process. To be called before the settings are read: a
+     * signal that comes until a watcher starts then says nothing new.
+     */
+    static void passOverSignals() {
+        Signal.handle(HANG_UP, signal -> {});
+    }
+
     void start(Eventloop loop) {
-        Signal.handle(new Signal("HUP"), signal -> loop.execute(this::reloadIfChanged));
+        Signal.handle(HANG_UP, signal -> loop.execute(this::reloadIfChanged));
         Clocks.every(loop, PERIOD_US, this::reloadIfChanged);
     }
 
