--- a/common/src/main/java/martenloom/common/callers/Callers.java
+++ b/common/src/main/java/martenloom/common/callers/Callers.java
@@ -120,7 +120,7 @@
 
     // ---- memory
 
-    /** Whether some caller may have given memory up: refuses those that have stalled. */
+    /** Refuses the callers that owe bytes and have sent none for a while. */
     public void refuseStalled(long nowUs) {
         for (var caller : List.copyOf(awaited)) {
             if (caller.connection.isStalled(nowUs)) {
--- a/edge/src/main/java/martenloom/edge/dispatch/ClientConnection.java
+++ b/edge/src/main/java/martenloom/edge/dispatch/ClientConnection.java
@@ -80,6 +80,7 @@
     /** The first byte of the request that is being read; 0 while none has come. */
     private long firstByteUs;
 
+    /** When bytes last came. */
     private long lastBytesUs = Clocks.nowUs();
 
     // ---- the request being read or in flight
