--- a/launcher/src/test/java/martenloom/launcher/WarmupPermitTest.java
+++ b/launcher/src/test/java/martenloom/launcher/WarmupPermitTest.java
@@ -11,6 +11,7 @@
 import martenloom.launcher.harness.TestCluster;
 import martenloom.launcher.harness.TestClusterBuilder;
 import martenloom.launcher.harness.TestConfiguration;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -52,6 +53,7 @@
     }
 
     @Test
+    @Tag("known-red") // fails at times beside load, see KNOWN-RED.txt
     void moreEdgesThanPermitsAreLentPermitsInTurn() throws Exception {
         var edges = new int[] {0, 3, 6, 9, 12, 15, 18};
         var configuration =
