JSON behind three quotes is counted too

Found by reading the change once more: the parser takes three quotes for a string of another kind, also in JSON. A body that hides the end of such a string from the count, with 60,000 nested arrays behind it, was let through and overflowed the parser's stack (seen by a run of the parser alone with the stack size of the deploy file), which ends a core daemon. Change: a quote right behind the end of a string is refused with 400; no JSON has it. Comments, unquoted words and substitutions are refused by the parser itself at their place (six texts tried). Evidence: noStringHidesWhatStandsBehindIt passes; JsonCostTest and RequestBodiesTest pass.

--- a/core/src/main/java/martenloom/core/api/JsonCost.java
+++ b/core/src/main/java/martenloom/core/api/JsonCost.java
@@ -16,8 +16,17 @@
     /** What one parsed document may take of the heap. */
     private static final long MAX_PARSED_BYTES = Runtime.getRuntime().maxMemory() / 3;
 
+    /** No quote stands behind this position. */
+    private static final int NO_STRING = -2;
+
     private static final long MAX_ITEMS = MAX_PARSED_BYTES / BYTES_PER_ITEM;
 
+    /**
+     * Whether a quote follows the end of a string. No JSON has that, but the parser takes three
+     * quotes for another kind of string, in which others are hidden from this count.
+     */
+    private boolean adjacentStrings;
+
     private int depth;
     private int deepest;
     private long items;
@@ -28,6 +37,9 @@
     static Optional<String> refusalOf(String text) {
         var cost = new JsonCost();
         cost.count(text);
+        if (cost.adjacentStrings) {
+            return Optional.of("the body is no JSON: a string stands right behind another");
+        }
         if (cost.deepest > MAX_DEPTH) {
             return Optional.of("the body is nested deeper than " + MAX_DEPTH);
         }
@@ -39,9 +51,12 @@
 
     private void count(String text) {
         var inString = false;
+        var stringEnd = NO_STRING;
         for (var i = 0; i < text.length(); i++) {
             var character = text.charAt(i);
             if (character == '"') {
+                adjacentStrings |= !inString && i == stringEnd + 1;
+                stringEnd = inString ? i : stringEnd;
                 inString = !inString;
             } else if (inString && character == '\\') {
                 i++;
--- a/core/src/test/java/martenloom/core/api/JsonCostTest.java
+++ b/core/src/test/java/martenloom/core/api/JsonCostTest.java
@@ -19,6 +19,17 @@
         assertTrue(JsonCost.refusalOf("[" + "0,".repeat(1_000) + "0]").isEmpty());
     }
 
+    /**
+     * Guards against nesting behind three quotes, which the parser takes for a string of its own.
+     */
+    @Test
+    void noStringHidesWhatStandsBehindIt() {
+        var hidden = "{\"a\":[\"\"\"\\\"\"\"," + "[".repeat(100);
+        assertTrue(JsonCost.refusalOf(hidden).isPresent());
+        assertTrue(JsonCost.refusalOf("\"\"\"").isPresent());
+        assertTrue(JsonCost.refusalOf("{\"a\":\"\",\"\":\"\\\"\"}").isEmpty());
+    }
+
     @Test
     void whatStandsInStringsDoesNotCount() {
         assertTrue(JsonCost.refusalOf("{\"Body\":\"\\\"" + "[".repeat(100) + "\"}").isEmpty());
