--- a/core/src/main/java/martenloom/core/admin/ShellQueries.java
+++ b/core/src/main/java/martenloom/core/admin/ShellQueries.java
@@ -30,7 +30,7 @@
     private static final String LOAD = "load";
     private static final String USAGE =
             "? members chain configuration replicas evacuations homes leases jobs"
-                    + " scaling exposure tallies traffic log; would REGION/MODEL unload|load\n";
+                    + " scaling exposure traffic log; would REGION/MODEL unload|load\n";
 
     private final Settings settings;
     private final ChainMember chain;
