--- a/core/src/main/java/martenloom/core/tally/TallyReplica.java
+++ b/core/src/main/java/martenloom/core/tally/TallyReplica.java
@@ -27,7 +27,7 @@
     private static final int MAX_WAITING = 2_000;
 
     /** The adds of one message. */
-    private static final int BATCH_ADDS = 250;
+    private static final int BATCH_ADDS = 1_000;
 
     /** After so many rounds totals are told even if a peer in contact did not give its adds. */
     private static final int MAX_CATCH_UP_ROUNDS = 15;
