--- a/core/src/main/java/martenloom/core/tally/TallyState.java
+++ b/core/src/main/java/martenloom/core/tally/TallyState.java
@@ -1,11 +1,11 @@
 package martenloom.core.tally;
 
-import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
+import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
 
 /**
  * All adds that this daemon holds durably, by the log in which they stand and by their tallies: a
@@ -15,19 +15,43 @@
  */
 final class TallyState {
     /** The heap that an add takes beside the characters of its id. */
-    private static final int BYTES_PER_ADD = 240;
+    private static final int BYTES_PER_ADD = 120;
 
-    private final Map<Long, List<TallyAdd>> logs = new TreeMap<>();
-    private final Map<String, Tally> tallies = new Object2ObjectOpenHashMap<>();
+    /** No add is packed as this. */
+    private static final long NONE = -1;
+
+    /** The logs in the order in which their first adds came, and the index of each origin. */
+    private final List<OriginLog> logs = new ArrayList<>();
+
+    private final Map<Long, Integer> logIndex = new HashMap<>();
+    private final Map<String, Tally> tallies = new HashMap<>();
     private final VersionVector held = new VersionVector();
     private long bytes;
 
+    private record OriginLog(long origin, List<TallyAdd> adds) {}
+
     private static final class Tally {
-        private final Map<String, CountedAdd> byId = new Object2ObjectOpenHashMap<>();
+        /** Of each id the add that counts: the index of its log, then its sequence number. */
+        private final Object2LongOpenHashMap<String> countedById = new Object2LongOpenHashMap<>();
+
         private long total;
+
+        Tally() {
+            countedById.defaultReturnValue(NONE);
+        }
+    }
+
+    private static long pack(int log, int sequence) {
+        return (long) log << Integer.SIZE | sequence;
+    }
+
+    private static int logOf(long packed) {
+        return (int) (packed >>> Integer.SIZE);
     }
 
-    private record CountedAdd(AddPosition position, long change) {}
+    private TallyAdd add(long packed) {
+        return logs.get(logOf(packed)).adds.get((int) packed - 1);
+    }
 
     /** What is held; changes with the state. */
     VersionVector held() {
@@ -47,35 +71,48 @@
     /** Where an add stands that counts here. */
     Optional<AddPosition> position(TallyAddKey key) {
         return Optional.ofNullable(tallies.get(key.name()))
-                .flatMap(tally -> Optional.ofNullable(tally.byId.get(key.id())))
-                .map(CountedAdd::position);
+                .map(tally -> tally.countedById.getLong(key.id()))
+                .filter(packed -> packed != NONE)
+                .map(
+                        packed ->
+                                new AddPosition(
+                                        logs.get(logOf(packed)).origin, (int) (long) packed));
     }
 
     /**
      * Takes adds that continue a log; those that are held already, or lie behind a gap, are not.
      */
     void append(AddBatch batch) {
-        var count = held.held(batch.origin());
+        var origin = batch.origin();
+        var count = held.held(origin);
         if (batch.first() > count + 1 || batch.last() <= count) {
             return;
         }
-        var log = logs.computeIfAbsent(batch.origin(), unused -> new ArrayList<>());
+        var index = logIndex.computeIfAbsent(origin, this::newLog);
+        var log = logs.get(index).adds;
         for (var add : batch.after(count).adds()) {
             log.add(add);
-            count(add, new AddPosition(batch.origin(), log.size()));
+            count(add, pack(index, log.size()));
         }
-        held.raise(batch.origin(), log.size());
+        held.raise(origin, log.size());
     }
 
-    private void count(TallyAdd add, AddPosition position) {
+    private int newLog(long origin) {
+        logs.add(new OriginLog(origin, new ArrayList<>()));
+        return logs.size() - 1;
+    }
+
+    private void count(TallyAdd add, long packed) {
         bytes += BYTES_PER_ADD + add.id().length();
         var tally = tallies.computeIfAbsent(add.name(), unused -> new Tally());
-        var counted = Optional.ofNullable(tally.byId.get(add.id()));
-        var change = Math.min(add.change(), counted.map(CountedAdd::change).orElse(add.change()));
-        tally.total += change - counted.map(CountedAdd::change).orElse(0L);
-        tally.byId.put(
-                add.id(),
-                new CountedAdd(counted.map(CountedAdd::position).orElse(position), change));
+        var counted = tally.countedById.getLong(add.id());
+        if (counted == NONE) {
+            tally.countedById.put(add.id(), packed);
+            tally.total += add.change();
+        } else if (add.change() < add(counted).change()) {
+            tally.countedById.put(add.id(), packed);
+            tally.total += add.change() - add(counted).change();
+        }
     }
 
     /**
@@ -84,7 +121,10 @@
      * @param maxCount how many at most
      */
     AddBatch batchAfter(long origin, long sequence, int maxCount) {
-        var log = logs.getOrDefault(origin, List.of());
+        var log =
+                logIndex.containsKey(origin)
+                        ? logs.get(logIndex.get(origin)).adds
+                        : List.<TallyAdd>of();
         var to = (int) Math.min(log.size(), sequence + maxCount);
         var from = (int) Math.min(to, Math.max(0, sequence));
         return new AddBatch(origin, from + 1L, List.copyOf(log.subList(from, to)));
@@ -93,9 +133,9 @@
     /** Everything, in batches. */
     List<AddBatch> batches(int maxCount) {
         var batches = new ArrayList<AddBatch>();
-        for (var origin : logs.keySet()) {
-            for (var from = 0L; from < held.held(origin); from += maxCount) {
-                batches.add(batchAfter(origin, from, maxCount));
+        for (var log : logs) {
+            for (var from = 0L; from < log.adds.size(); from += maxCount) {
+                batches.add(batchAfter(log.origin, from, maxCount));
             }
         }
         return batches;
