--- a/core/src/test/java/martenloom/core/tally/TallySimulation.java
+++ b/core/src/test/java/martenloom/core/tally/TallySimulation.java
@@ -12,6 +12,7 @@
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import martenloom.common.codec.RecordReader;
+import martenloom.common.fleet.RecordType;
 
 /**
  * Tallies at several daemons on one thread: a network with delays and cuts, disks that lose what
@@ -26,11 +27,13 @@
     private static final int TRIES = 4;
     private static final int MOST_DELAY_MS = 35;
     private static final int TICK_MS = 50;
-    private static final String TALLY = "t";
+
+    /** So few adds to a tally that one that is lost cannot hide behind others. */
+    private static final int ADDS_OF_TALLY = 5;
 
     private final Random random;
     private final CopyRequirement requirement;
-    private final boolean reportsBeforeSync;
+    private final Mutant mutant;
     private final Map<String, Node> nodes = new TreeMap<>();
     private final PriorityQueue<Event> events = new PriorityQueue<>();
     private final Set<String> cutLinks = new HashSet<>();
@@ -45,6 +48,20 @@
     private long lastTroubleMs;
     private int adds;
 
+    /** A fault put in by hand, as it would show at the daemons. */
+    enum Mutant {
+        NONE,
+
+        /** A write is reported before it is synced. */
+        REPORTED_BEFORE_SYNC,
+
+        /** An id that was taken some seconds ago is not known any more. */
+        ID_FORGOTTEN,
+
+        /** Adds of another daemon count beside the own ones of the same id. */
+        SUMS_ADDED
+    }
+
     private record Event(long atMs, long number, Runnable action) implements Comparable<Event> {
         @Override
         public int compareTo(Event other) {
@@ -60,6 +77,7 @@
         private final Location location;
         private List<byte[]> durable = new ArrayList<>();
         private List<byte[]> unsynced = new ArrayList<>();
+        private final Set<String> acknowledgedInCut = new HashSet<>();
         private final Map<String, Integer> acknowledgedInThisLife = new HashMap<>();
         private TallyReplica replica;
         private int life;
@@ -102,14 +120,19 @@
         }
 
         private void keepByChance(byte[] payload) {
-            if (!reportsBeforeSync && random.nextBoolean()) {
+            if (mutant != Mutant.REPORTED_BEFORE_SYNC && random.nextBoolean()) {
                 durable.add(payload);
             }
         }
 
-        void loseDisk() {
+        /** The disk is empty; what was acknowledged here in an unfinished cut is not owed. */
+        void loseDisk(boolean wasSettled) {
             durable = new ArrayList<>();
             unsynced = new ArrayList<>();
+            if (!wasSettled) {
+                acknowledgedInCut.forEach(acknowledged::remove);
+            }
+            acknowledgedInCut.clear();
         }
 
         @Override
@@ -130,7 +153,7 @@
 
         private void receive(String from, String link, byte[] record) {
             if (up && nodes.get(from).up && !cutLinks.contains(link)) {
-                replica.onRecord(from, new RecordReader(record, true));
+                replica.onRecord(from, new RecordReader(mutated(record), true));
             }
         }
 
@@ -149,7 +172,7 @@
         @Override
         public void append(byte[] payload, Consumer<Boolean> done) {
             unsynced.add(payload);
-            if (reportsBeforeSync) {
+            if (mutant == Mutant.REPORTED_BEFORE_SYNC) {
                 after(1, inThisLife(() -> done.accept(true)));
                 after(MERGE_MS, inThisLife(() -> sync(payload)));
             } else {
@@ -178,10 +201,10 @@
         }
     }
 
-    TallySimulation(long seed, int count, CopyRequirement requirement, boolean reportsBeforeSync) {
+    TallySimulation(long seed, int count, CopyRequirement requirement, Mutant mutant) {
         random = new Random(seed);
         this.requirement = requirement;
-        this.reportsBeforeSync = reportsBeforeSync;
+        this.mutant = mutant;
         for (var i = 0; i < count; i++) {
             var node = new Node(i);
             nodes.put(node.ip, node);
@@ -189,6 +212,27 @@
         nodes.values().forEach(Node::start);
     }
 
+    private byte[] mutated(byte[] record) {
+        if (mutant != Mutant.SUMS_ADDED || record[0] != RecordType.TALLY_ADDS) {
+            return record;
+        }
+        var batch = AddBatch.read(new RecordReader(record, true));
+        var renamed = batch.adds().stream().map(add -> ofOrigin(add, batch.origin())).toList();
+        return new TallyMessage.Adds(new AddBatch(batch.origin(), batch.first(), renamed)).encode();
+    }
+
+    private static TallyAdd ofOrigin(TallyAdd add, long origin) {
+        return new TallyAdd(add.name(), add.id() + "@" + origin, add.change());
+    }
+
+    private String idAsKnown(String id) {
+        return mutant == Mutant.ID_FORGOTTEN ? id + "/" + nowMs / MERGE_MS : id;
+    }
+
+    private boolean isSettled() {
+        return cutLinks.isEmpty() && nowMs - lastTroubleMs > MERGE_MS;
+    }
+
     private void at(long atMs, Runnable action) {
         events.add(new Event(atMs, eventsMade++, action));
     }
@@ -245,40 +289,59 @@
         var life = node.life;
         possible.put(id, change);
         node.replica.add(
-                TALLY,
-                id,
+                tallyOf(id),
+                idAsKnown(id),
                 change,
                 outcome -> {
                     if (outcome == AddOutcome.COUNTED && node.life == life) {
                         answered[0] = true;
                         acknowledged.putIfAbsent(id, nowMs);
                         node.acknowledgedInThisLife.put(id, change);
+                        if (!isSettled()) {
+                            node.acknowledgedInCut.add(id);
+                        }
                     } else {
                         after(1, again);
                     }
                 });
     }
 
+    private static String tallyOf(String id) {
+        return "t" + Integer.parseInt(id.substring(1)) / ADDS_OF_TALLY;
+    }
+
+    /** The ids of adds to a tally. */
+    private Set<String> of(String tally, Set<String> ids) {
+        var ofTally = new HashSet<String>();
+        var first = Integer.parseInt(tally.substring(1)) * ADDS_OF_TALLY;
+        for (var number = first; number < first + ADDS_OF_TALLY; number++) {
+            if (ids.contains("a" + number)) {
+                ofTally.add("a" + number);
+            }
+        }
+        return ofTally;
+    }
+
     private Node someNode() {
         return List.copyOf(nodes.values()).get(random.nextInt(nodes.size()));
     }
 
     private void read(Node node) {
-        if (!node.up) {
+        if (!node.up || adds == 0) {
             return;
         }
-        node.replica
-                .total(TALLY)
-                .ifPresent(
-                        total -> {
-                            check(total <= sum(possible.keySet()), node, total + " is too high");
-                            var own = sum(node.acknowledgedInThisLife.keySet());
-                            check(total >= own, node, total + " lacks own adds of " + own);
-                            if (cutLinks.isEmpty() && nowMs - lastTroubleMs > MERGE_MS) {
-                                var owed = sum(acknowledgedBefore(nowMs - MERGE_MS));
-                                check(total >= owed, node, total + " lacks adds of " + owed);
-                            }
-                        });
+        var tally = tallyOf("a" + random.nextInt(adds));
+        node.replica.total(tally).ifPresent(total -> check(node, tally, total));
+    }
+
+    private void check(Node node, String tally, long total) {
+        check(total <= sum(of(tally, possible.keySet())), node, tally + " is too high");
+        var own = sum(of(tally, node.acknowledgedInThisLife.keySet()));
+        check(total >= own, node, total + " lacks own adds of " + own);
+        if (isSettled()) {
+            var owed = sum(of(tally, acknowledgedBefore(nowMs - MERGE_MS)));
+            check(total >= owed, node, tally + " is " + total + " and lacks adds of " + owed);
+        }
     }
 
     private long sum(Set<String> ids) {
@@ -303,21 +366,23 @@
         }
     }
 
-    /** All adds that were acknowledged are there at all daemons, which have the same total. */
+    /** All adds that were acknowledged are there at all daemons, which have the same totals. */
     void checkEnd() {
-        var totals = new HashSet<Long>();
-        for (var node : nodes.values()) {
-            var total = node.replica.total(TALLY);
-            check(total.isPresent(), node, "tells no total");
-            totals.add(total.getAsLong());
-            check(
-                    total.getAsLong() >= sum(acknowledged.keySet()),
-                    node,
-                    total + " of " + sum(acknowledged.keySet()) + " is left");
-            check(total.getAsLong() <= sum(possible.keySet()), node, total + " is too high");
-        }
-        if (totals.size() != 1) {
-            throw new AssertionError("the daemons differ: " + totals);
+        for (var first = 0; first < adds; first += ADDS_OF_TALLY) {
+            var tally = tallyOf("a" + first);
+            var totals = new HashSet<Long>();
+            for (var node : nodes.values()) {
+                var total = node.replica.total(tally);
+                check(total.isPresent(), node, "tells no total");
+                totals.add(total.getAsLong());
+                var owed = sum(of(tally, acknowledged.keySet()));
+                check(total.getAsLong() >= owed, node, tally + " lacks some of " + owed);
+                var most = sum(of(tally, possible.keySet()));
+                check(total.getAsLong() <= most, node, tally + " is too high");
+            }
+            if (totals.size() != 1) {
+                throw new AssertionError("the daemons differ in " + tally + ": " + totals);
+            }
         }
     }
 
@@ -335,6 +400,9 @@
      * Cuts one zone or one region from the others, both ways or one way, or two from each other.
      */
     void cut() {
+        if (isSettled()) {
+            nodes.values().forEach(node -> node.acknowledgedInCut.clear());
+        }
         trouble();
         var domain = random.nextInt(3);
         var first = someNode().location;
@@ -368,6 +436,24 @@
         cutLinks.clear();
     }
 
+    /** A part of the links pass again, each in one way. */
+    void healSome() {
+        trouble();
+        cutLinks.removeIf(link -> random.nextInt(3) == 0);
+    }
+
+    /** A daemon is replaced by one with an empty disk. */
+    void replace() {
+        var node = someNode();
+        if (node.up) {
+            var wasSettled = isSettled();
+            trouble();
+            node.losePower();
+            node.loseDisk(wasSettled);
+            after(500 + random.nextInt(2_000), () -> back(node));
+        }
+    }
+
     /** One daemon, or all, lose power and come back. */
     void losePower(boolean all, int downMs) {
         trouble();
@@ -387,6 +473,7 @@
 
     /** The disks that may be lost at once are lost, while all others lose power. */
     void loseDisks(CopyRequirement tolerated) {
+        var wasSettled = isSettled();
         trouble();
         var lost = new HashSet<Node>();
         var first = someNode();
@@ -406,7 +493,7 @@
                             .forEach(lost::add);
         }
         losePower(true, 500);
-        lost.forEach(Node::loseDisk);
+        lost.forEach(node -> node.loseDisk(wasSettled));
     }
 
     int below(int bound) {
--- a/core/src/test/java/martenloom/core/tally/TallyStormTest.java
+++ b/core/src/test/java/martenloom/core/tally/TallyStormTest.java
@@ -3,8 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import martenloom.core.tally.TallySimulation.Mutant;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -19,8 +21,8 @@
     private static final int CALL_PAUSE_MS = 40;
     private static final CopyRequirement TOLERATED = new CopyRequirement(2, 1, 1);
 
-    private static void play(long seed, int nodes, CopyRequirement requirement, boolean unsynced) {
-        var day = new TallySimulation(seed, nodes, requirement, unsynced);
+    private static void play(long seed, int nodes, CopyRequirement requirement, Mutant mutant) {
+        var day = new TallySimulation(seed, nodes, requirement, mutant);
         day.playUntil(SETTLED_MS);
         for (var phase = 0; phase < PHASES; phase++) {
             playCut(day);
@@ -31,14 +33,27 @@
         assertTrue(day.acknowledgedAdds() > PHASES, "adds were acknowledged");
     }
 
-    /** A cut with losses of power on either side, and the time after it in which all settles. */
+    /**
+     * A cut, at times of minutes, with losses of power and a replacement on either side; it heals
+     * at once or one way after the other. Then all settles.
+     */
     private static void playCut(TallySimulation day) {
-        var lengthMs = 500 + day.below(8_000);
-        day.callUntil(day.nowMs() + lengthMs + SETTLED_MS, CALL_PAUSE_MS);
+        var isLong = day.below(12) == 0;
+        var lengthMs = isLong ? 60_000 + day.below(60_000) : 500 + day.below(8_000);
+        day.callUntil(
+                day.nowMs() + lengthMs + SETTLED_MS, isLong ? 8 * CALL_PAUSE_MS : CALL_PAUSE_MS);
         day.cut();
-        day.playUntil(day.nowMs() + lengthMs / 2);
+        day.playUntil(day.nowMs() + lengthMs / 3);
         day.losePower(day.below(4) == 0, 200 + day.below(2_000));
-        day.playUntil(day.nowMs() + lengthMs / 2);
+        day.playUntil(day.nowMs() + lengthMs / 3);
+        if (day.below(3) == 0) {
+            day.replace();
+        }
+        day.playUntil(day.nowMs() + lengthMs / 3);
+        if (day.below(2) == 0) {
+            day.healSome();
+            day.playUntil(day.nowMs() + day.below(4_000));
+        }
         day.heal();
         day.playUntil(day.nowMs() + SETTLED_MS);
     }
@@ -57,30 +72,31 @@
         for (var seed = 0; seed < DAYS; seed++) {
             var daySeed = seed;
             try {
-                play(daySeed, nodes, TOLERATED, false);
+                play(daySeed, nodes, TOLERATED, Mutant.NONE);
             } catch (AssertionError e) {
                 throw new AssertionError("seed " + daySeed + ", " + nodes + " nodes", e);
             }
         }
     }
 
-    private static void assertFound(CopyRequirement requirement, boolean unsynced) {
+    private static void assertFound(CopyRequirement requirement, Mutant mutant) {
         assertThrows(
                 AssertionError.class,
                 () -> {
                     for (var seed = 0; seed < MUTANT_DAYS; seed++) {
-                        play(seed, 6, requirement, unsynced);
+                        play(seed, 6, requirement, mutant);
                     }
                 });
     }
 
     @Test
     void anAcknowledgementByTheOwnDiskAloneIsFound() {
-        assertFound(new CopyRequirement(0, 0, 0), false);
+        assertFound(new CopyRequirement(0, 0, 0), Mutant.NONE);
     }
 
-    @Test
-    void anAcknowledgementBeforeTheSyncIsFound() {
-        assertFound(TOLERATED, true);
+    @ParameterizedTest
+    @EnumSource(value = Mutant.class, mode = EnumSource.Mode.EXCLUDE, names = "NONE")
+    void aFaultPutInByHandIsFound(Mutant mutant) {
+        assertFound(TOLERATED, mutant);
     }
 }
