--- a/core/src/main/java/martenloom/core/CoreDaemon.java
+++ b/core/src/main/java/martenloom/core/CoreDaemon.java
@@ -128,9 +128,9 @@
         updates = new ReplicaUpdatePublisher(registry, peers, edges);
         load = new LoadPublisher(peers, regions, edges);
         peers.setConnectionListener(load::onPeerConnected);
-        synchronizer = new EdgeSynchronizer(registry, edges, configurations);
-        warmupPermits = new WarmupPermits(Clocks.nowUs(), firstStart);
         regionCores = new RegionCores(regions);
+        synchronizer = new EdgeSynchronizer(registry, edges, configurations, regionCores);
+        warmupPermits = new WarmupPermits(Clocks.nowUs(), firstStart);
         edgeLeases = edgeLeases(startedUs, routes);
         tallies = new TallyService(loop, settings, folder, peers);
         shellQueries =
@@ -151,7 +151,7 @@
         var responder =
                 new EdgeLeaseResponder(freshness, registry, fleetSize, peers, regionJobs, lender);
         return new EdgeLeaseRenewals(
-                registry, synchronizer, responder, regionJobs, updates, leaseRelay, regionCores);
+                registry, synchronizer, responder, regionJobs, updates, leaseRelay);
     }
 
     private ControlApi controlApi(CompiledRoutes routes) {
--- a/core/src/main/java/martenloom/core/edge/EdgeLeaseRenewals.java
+++ b/core/src/main/java/martenloom/core/edge/EdgeLeaseRenewals.java
@@ -20,7 +20,6 @@
     private final RegionJobListing regionJobs;
     private final ReplicaUpdatePublisher updates;
     private final LeaseRelay leaseRelay;
-    private final RegionCores regionCores;
 
     /** Holds no state of its own. */
     public EdgeLeaseRenewals(
@@ -29,15 +28,13 @@
             EdgeLeaseResponder responder,
             RegionJobListing regionJobs,
             ReplicaUpdatePublisher updates,
-            LeaseRelay leaseRelay,
-            RegionCores regionCores) {
+            LeaseRelay leaseRelay) {
         this.registry = registry;
         this.synchronizer = synchronizer;
         this.responder = responder;
         this.regionJobs = regionJobs;
         this.updates = updates;
         this.leaseRelay = leaseRelay;
-        this.regionCores = regionCores;
     }
 
     /** An edge renews its lease, as old as the renewal was under way. */
@@ -49,9 +46,8 @@
         var requestedRoles = in.texts();
         var warmingReplicas = in.texts();
         registry.accept(edge, true);
-        synchronizer.onRenewal(edge.ip(), link, nowUs);
+        synchronizer.onRenewal(edge, link, nowUs);
         link.send(responder.respond(edge, sentAtUs, warmingReplicas, nowUs));
-        regionCores.tell(link, edge.region());
         regionJobs.recordFor(holder, edge.region(), nowUs).ifPresent(link::send);
         requestedRoles.forEach(role -> leaseRelay.forwardRequest(role, holder, sentAtUs, nowUs));
         if (edge.draining()) {
--- a/core/src/main/java/martenloom/core/edge/EdgeSynchronizer.java
+++ b/core/src/main/java/martenloom/core/edge/EdgeSynchronizer.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import martenloom.common.codec.RecordReader;
+import martenloom.common.fleet.EdgeRecord;
 import martenloom.common.link.PeerLink;
 import martenloom.core.registry.Registry;
 
@@ -15,26 +16,33 @@
     private final Registry registry;
     private final EdgeLinks edges;
     private final ConfigurationPublisher configurations;
+    private final RegionCores regionCores;
 
     /** The edition that each edge had when it last told what it has, on its current link. */
     private final Map<String, Long> toldEditions = new HashMap<>();
 
     /** Sends nothing by itself. */
     public EdgeSynchronizer(
-            Registry registry, EdgeLinks edges, ConfigurationPublisher configurations) {
+            Registry registry,
+            EdgeLinks edges,
+            ConfigurationPublisher configurations,
+            RegionCores regionCores) {
         this.registry = registry;
         this.edges = edges;
         this.configurations = configurations;
+        this.regionCores = regionCores;
     }
 
     /** An edge has renewed its lease: sends it what it was not sent on this link yet. */
-    void onRenewal(String edgeIp, PeerLink link, long nowUs) {
+    void onRenewal(EdgeRecord edge, PeerLink link, long nowUs) {
+        var edgeIp = edge.ip();
         var isNew = edges.bind(edgeIp, link);
         if (isNew) {
             configurations.forget(edgeIp);
             toldEditions.remove(edgeIp);
         }
         if (link.readsShortForms()) {
+            regionCores.tell(link, edge.region());
             sendConfigurationIfAsked(edgeIp, link);
             return;
         }
--- a/core/src/main/java/martenloom/core/edge/RegionCores.java
+++ b/core/src/main/java/martenloom/core/edge/RegionCores.java
@@ -23,10 +23,10 @@
         this.regions = regions;
     }
 
-    /** Tells an edge of this region, unless it has been told the same on this link. */
+    /** Tells an edge of a region, unless it has been told the same on this link. */
     void tell(PeerLink link, String region) {
         var cores = regions.coresIn(region);
-        if (link.readsShortForms() && !cores.equals(told.put(link, cores))) {
+        if (!cores.equals(told.put(link, cores))) {
             link.send(new RecordWriter(RecordType.REGION_CORES).texts(cores).bytes());
         }
     }
--- a/launcher/src/test/java/martenloom/launcher/ProcessSoakTest.java
+++ b/launcher/src/test/java/martenloom/launcher/ProcessSoakTest.java
@@ -23,6 +23,7 @@
 import martenloom.launcher.harness.DaemonProcess;
 import martenloom.launcher.harness.ProcessCluster;
 import martenloom.launcher.harness.ProcessLimits;
+import martenloom.launcher.harness.TallyCallers;
 import martenloom.launcher.harness.TestConfiguration;
 import martenloom.launcher.harness.TestHttpClient;
 import org.junit.jupiter.api.Test;
@@ -32,8 +33,8 @@
  * Daemons as processes under signals, restarts, changes of the configuration and crowds of clients
  * that do not behave, in series that overlap, while ordinary clients keep using their connections
  * until the process at the other end is gone. Judged are ends of processes that nobody asked for,
- * memory, descriptors, what may run once, responses that were cut, and that everybody is served at
- * the end.
+ * memory, descriptors, what may run once, responses that were cut, adds to tallies, and that
+ * everybody is served at the end.
  *
  * <p>A seed gives the events; the clocks are real. More seeds, other lengths and sizes: {@code
  * -Dsoak.seed=N -Dsoak.seeds=N -Dsoak.seconds=N -Dsoak.cores=N -Dsoak.edges=N -Dsoak.clients=N}.
@@ -44,6 +45,7 @@
     private static final int NETWORKS = 30;
     private static final int USUAL_SECONDS = 20;
     private static final int USUAL_CLIENTS = 8;
+    private static final int TALLY_CALLERS = 2;
     private static final int CROWD = 250;
     private static final int LONGEST_PAUSE_MS = 1_200;
     private static final int LONGEST_DOWN_MS = 1_500;
@@ -112,17 +114,20 @@
             clients.add(new Thread(() -> runClient(name, random), name));
         }
         clients.forEach(Thread::start);
+        var tallies = new TallyCallers(cluster.control(), coreCount, TALLY_CALLERS, seed);
         disturb(new Random(seed));
         over = true;
         for (var client : clients) {
             client.join();
         }
+        tallies.stop();
         System.out.printf(
-                "soak seed %d: %d answered, %d cut, %d violations %s%n",
-                seed, answered.get(), cuts.get(), violations.size(), violations);
+                "soak seed %d: %d answered, %d cut, adds %s, %d violations %s%n",
+                seed, answered.get(), cuts.get(), tallies, violations.size(), violations);
         assertEquals(List.of(), List.copyOf(violations), "seed " + seed);
         assertTrue(cuts.get() <= ALLOWED_CUTS, () -> "seed " + seed + ": " + cuts + " cut");
         cluster.awaitServing();
+        assertEquals(List.of(), tallies.check(), "seed " + seed);
         for (var edge = 0; edge < edgeCount; edge++) {
             assertWithinLimits(cluster.edge(edge), seed);
         }
