A log of adds that writes without a pause is no stalled disk

Found by reading the change once more: the time at which a write began was kept from the first of a row of writes, so after 0.3 s of writes one behind the other, each in time, further adds would have got 503 until a pause. Now the same write has to be seen under way for 0.3 s.

--- a/core/src/main/java/martenloom/core/tally/TallyLog.java
+++ b/core/src/main/java/martenloom/core/tally/TallyLog.java
@@ -34,7 +34,12 @@
 
     private boolean openedOnce;
     private boolean writing;
-    private long writingSinceUs;
+    private long writes;
+
+    /** The number of the write that was seen under way, and when it was first seen. */
+    private long observedWrite;
+
+    private long observedSinceUs;
     private List<QueuedBatch> queue = new ArrayList<>();
 
     /** What is held or queued. */
@@ -118,9 +123,13 @@
         return openedOnce;
     }
 
-    /** Whether a write is under way for too long. */
+    /** Whether the same write is seen under way for too long. */
     boolean isStalled(long nowUs) {
-        return writing && nowUs - writingSinceUs > STALL_US;
+        if (writing && observedWrite != writes) {
+            observedWrite = writes;
+            observedSinceUs = nowUs;
+        }
+        return writing && nowUs - observedSinceUs > STALL_US;
     }
 
     /** How many adds of an origin are held or on their way to the disk. */
@@ -134,19 +143,19 @@
     }
 
     /** Takes an add of which nothing is known here. */
-    AddPosition submitOwn(TallyAdd add, long nowUs) {
+    AddPosition submitOwn(TallyAdd add) {
         var sequence = received.held(origin) + 1;
         var position = new AddPosition(origin, sequence);
         pendingOwn.put(add.key(), position);
         submit(new QueuedBatch(new AddBatch(origin, sequence, List.of(add)), Optional.empty()));
-        writeQueued(nowUs);
+        writeQueued();
         return position;
     }
 
     /** Takes adds from a peer that leave no gap behind what was received. */
-    void submitReceived(AddBatch batch, String source, long nowUs) {
+    void submitReceived(AddBatch batch, String source) {
         submit(new QueuedBatch(batch.after(received.held(batch.origin())), Optional.of(source)));
-        writeQueued(nowUs);
+        writeQueued();
     }
 
     private void submit(QueuedBatch queued) {
@@ -154,14 +163,14 @@
         queue.add(queued);
     }
 
-    private void writeQueued(long nowUs) {
+    private void writeQueued() {
         if (writing || !open || queue.isEmpty()) {
             return;
         }
         var batches = queue;
         queue = new ArrayList<>();
         writing = true;
-        writingSinceUs = nowUs;
+        writes++;
         var payload = TallyLogRecords.ofBatches(batches.stream().map(QueuedBatch::batch).toList());
         storage.append(payload, durable -> onWritten(batches, durable));
     }
@@ -179,6 +188,6 @@
             written.batch().adds().forEach(add -> pendingOwn.remove(add.key()));
         }
         listener.onDurable(batches);
-        writeQueued(writingSinceUs);
+        writeQueued();
     }
 }
--- a/core/src/main/java/martenloom/core/tally/TallyReplica.java
+++ b/core/src/main/java/martenloom/core/tally/TallyReplica.java
@@ -88,7 +88,7 @@
             caller.accept(AddOutcome.NOT_TAKEN);
             return;
         }
-        var position = known.orElseGet(() -> log.submitOwn(add, nowUs));
+        var position = known.orElseGet(() -> log.submitOwn(add));
         waiters.await(position, nowUs + ACKNOWLEDGEMENT_TIMEOUT_US, caller);
         acknowledge();
     }
@@ -223,7 +223,7 @@
         if (batch.last() <= state.held().held(origin)) {
             onDurable(ip, batch);
         } else if (batch.first() <= log.received(origin) + 1) {
-            log.submitReceived(batch, ip, nowUs);
+            log.submitReceived(batch, ip);
         } else if (antiEntropy.beginFetchOfGap(ip, origin)) {
             send(ip, new TallyMessage.Fetch(origin, log.received(origin)));
         }
