Adds on a given-up write do not count; a peer is credited with what it sent alone

- When a peer showed that our disk knows less of our own log than was given out, the log was written anew while an append was still under way.
Its end was then taken for durable, though the new segment has not got it: an add could count, and be confirmed to peers, on no disk.
The end of an append that began before a rewriting is ignored now; its callers have been told that their adds are uncertain.
- Adds that were on their way to the disk already, sent once more by another peer, credited that peer with all that was received here, so that it could count as a holder of adds that it had not got, until its next answer to a probe.
A peer is credited at receipt, with the last add that it sent.

Behaviour else as it was.

--- a/core/src/main/java/martenloom/core/tally/PeerContacts.java
+++ b/core/src/main/java/martenloom/core/tally/PeerContacts.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.stream.Collectors;
 
 /**
  * Which peers are in contact, both ways, and what each holds durably. A peer is in contact until it
@@ -113,6 +112,6 @@
                                         + peer.missedRounds
                                         + " holds "
                                         + peer.held));
-        return lines.stream().collect(Collectors.toList());
+        return lines;
     }
 }
--- a/core/src/main/java/martenloom/core/tally/TallyLog.java
+++ b/core/src/main/java/martenloom/core/tally/TallyLog.java
@@ -36,6 +36,9 @@
     private boolean writing;
     private long writes;
 
+    /** How often the log was written anew: an append that began before is not in it. */
+    private long rewrites;
+
     /** The number of the write that was seen under way, and when it was first seen. */
     private long observedWrite;
 
@@ -98,6 +101,8 @@
 
     private void rewrite() {
         open = false;
+        writing = false;
+        rewrites++;
         queue = new ArrayList<>();
         pendingOwn.clear();
         received = state.held().copy();
@@ -172,7 +177,14 @@
         writing = true;
         writes++;
         var payload = TallyLogRecords.ofBatches(batches.stream().map(QueuedBatch::batch).toList());
-        storage.append(payload, durable -> onWritten(batches, durable));
+        var rewritesBefore = rewrites;
+        storage.append(
+                payload,
+                durable -> {
+                    if (rewrites == rewritesBefore) {
+                        onWritten(batches, durable);
+                    }
+                });
     }
 
     private void onWritten(List<QueuedBatch> batches, boolean durable) {
--- a/core/src/main/java/martenloom/core/tally/TallyReplica.java
+++ b/core/src/main/java/martenloom/core/tally/TallyReplica.java
@@ -216,6 +216,7 @@
 
     private void onAdds(String ip, AddBatch batch) {
         var origin = batch.origin();
+        contacts.onHeld(ip, origin, batch.last());
         if (!mayMerge()) {
             return;
         }
@@ -232,7 +233,6 @@
     /** Adds that a peer has sent are durable. */
     private void onDurable(String ip, AddBatch batch) {
         var origin = batch.origin();
-        contacts.onHeld(ip, origin, batch.last());
         send(ip, new TallyMessage.Held(origin, state.held().held(origin)));
         if (antiEntropy.continueFetch(ip, origin, log.received(origin))) {
             send(ip, new TallyMessage.Fetch(origin, log.received(origin)));
